Draw lots for cold servers where a part of the cold budget is under one part's work

Cause: the budget is divided by the gatherers; with fifty and more nobody sent anything to a fresh server until it was warm, which a release of most of the fleet makes short capacity. It should also serve crashes and preemption; it could harm where one gatherer has most of the traffic, which the one part a window bounds.

--- a/src/main/java/sprucehold/Brain.java
+++ b/src/main/java/sprucehold/Brain.java
@@ -186,6 +186,8 @@
         double asideUntil;
         double asideMs;
         final ArrayDeque<double[]> coldSends = new ArrayDeque<>();
+        double lotUntil;
+        boolean lotWon;
 
         /** Four: a small server's cores and as many waiting; it grows and shrinks from there. */
         static final double USUAL_ROOM = 4;
@@ -573,10 +575,21 @@
             srv.coldSends.poll();
         }
         double sent = srv.coldSends.stream().mapToDouble(s -> s[1]).sum();
+        double work = workOf(part.scan.type);
         // One core is the least a server has; the others are taken to send as much as this gatherer.
-        double room = rule.multiple() * rule.startShare() * rule.windowMs() / facts.gatherers();
-        room *= share / rule.startShare();
-        return sent + workOf(part.scan.type) <= room;
+        double own = rule.multiple() * share * rule.windowMs() / facts.gatherers();
+        if (sent + work <= own) {
+            return true;
+        }
+        // Where a gatherer's part of the budget is less than a part's work, nobody would ever send: the gatherers
+        // draw lots instead, each window anew, and a winner may have one part out in it. Lots fall as often as the
+        // server can do its work, so all together send what they would send it warm, scaled down by its share;
+        // halved, so that it may be its segments' last holder.
+        if (now >= srv.lotUntil) {
+            srv.lotUntil = now + rule.windowMs();
+            srv.lotWon = chance.nextDouble() < share / 2;
+        }
+        return srv.lotWon && sent == 0;
     }
 
     // ---- List following ----
