Parts leave servers that failed lately; unreachable servers are set aside at once

Cause: with thirty to a hundred gatherers each meets a given server every few seconds at best, so three failures in a row come too late. One failure now makes a server suspect for some seconds: parts go to another holder that isn't. Folds in the departure for non-replayable parts. It should also guard against partial cuts and lost answers; on a fleet that fails everywhere it changes nothing.

--- a/src/main/java/sprucehold/Brain.java
+++ b/src/main/java/sprucehold/Brain.java
@@ -183,6 +183,7 @@
         double answeredAt = Double.NEGATIVE_INFINITY;
         /** When the latest part that it has answered went out. */
         double answeredOfAt = Double.NEGATIVE_INFINITY;
+        double suspectUntil;
         double asideUntil;
         double asideMs;
         final ArrayDeque<double[]> coldSends = new ArrayDeque<>();
@@ -195,6 +196,10 @@
         Srv(String id) {
             this.id = id;
         }
+
+        boolean suspect(double now) {
+            return failuresInRow > 0 && now < suspectUntil;
+        }
     }
 
     /** Times as a histogram: each bin is 1.6 times as wide as the one before, coarse but never far off. */
@@ -471,11 +476,17 @@
             return null;
         }
         Srv wanted = holders.get(position % holders.size());
-        // A non-replayable part has no second chance: it leaves a server that has failed since it last completed
-        // one in time. Guards against silent and slow servers before they are set aside; on a fleet that fails
-        // everywhere it only changes which server is tried.
-        boolean risky = part.scan.type.repeat() == TableType.Repeat.NON_REPLAYABLE && wanted.failuresInRow > 0;
-        return mayUse(wanted, part) && !risky ? wanted : leastLoaded(part);
+        if (!mayUse(wanted, part)) {
+            return leastLoaded(part);
+        }
+        // A part leaves a server that failed lately, for one that didn't: with many gatherers each meets a server
+        // so seldom that three failures in a row would come too late. Guards against silent, slow and cut-off
+        // servers before they are set aside; on a fleet that fails everywhere it changes nothing.
+        if (wanted.suspect(now)) {
+            Srv other = leastLoaded(part);
+            return other == null || other.suspect(now) ? wanted : other;
+        }
+        return wanted;
     }
 
     private Srv leastLoaded(Part part) {
@@ -512,10 +523,13 @@
 
     // ---- Set-aside ----
 
-    private void failed(Srv srv) {
+    private void failed(Srv srv, boolean unreachable) {
         srv.failuresInRow++;
-        // Three in a row: one may be chance, two a pause; a quiet gatherer can't wait for more.
-        if (srv.failuresInRow >= 3 && now >= srv.asideUntil) {
+        // Five seconds: about as long as a quiet gatherer takes to meet a server again.
+        srv.suspectUntil = now + 5000 * Math.min(4, srv.failuresInRow);
+        // Three in a row: one may be chance, two a pause; a quiet gatherer can't wait for more. A server that can't
+        // be reached is down or full, and there is nothing to wait for.
+        if ((srv.failuresInRow >= 3 || unreachable) && now >= srv.asideUntil) {
             // A second at first, twice as long each time it comes to nothing, up to four.
             srv.asideMs = Math.min(4000, Math.max(1000, 2 * srv.asideMs));
             srv.asideUntil = now + srv.asideMs;
@@ -723,7 +737,7 @@
         late(sent.srv);
         // One that still answers is slow; while the fleet as a whole is, setting it aside only loads the others.
         if (sent.srv.answeredAt < sent.at || servedShare >= 0.6) {
-            failed(sent.srv);
+            failed(sent.srv, false);
         }
         if (!copiesWanted.contains(sent.part)) {
             copiesWanted.add(sent.part);
@@ -784,7 +798,7 @@
                 }
             } else if (!sent.overdue && ended.ending() != Ending.TIMED_OUT) {
                 // A time-out before the part was late tells of the client's haste, not of the server.
-                failed(sent.srv);
+                failed(sent.srv, ended.ending() == Ending.UNCONNECTED);
             }
             if (wanted && !part.isOut()) {
                 if (mayDispatch(part)) {
--- a/src/test/java/sprucehold/BrainTest.java
+++ b/src/test/java/sprucehold/BrainTest.java
@@ -190,40 +190,52 @@
     @DataProvider
     Object[][] failing() {
         return new Object[][] {
-            // failures of server a in a row, how, whether it is then left out for a second
-            {1, Ending.RESET, false}, {2, Ending.RESET, false}, {3, Ending.RESET, true},
-            {3, Ending.UNCONNECTED, true}, {3, Ending.FULL, true}, {3, Ending.CANCELLED, false},
+            // failures of server a in a row, how, whether calm scans leave it, whether busy ones do
+            {1, Ending.RESET, true, false}, {2, Ending.RESET, true, false}, {3, Ending.RESET, true, true},
+            {1, Ending.UNCONNECTED, true, true}, {3, Ending.FULL, true, true}, {3, Ending.CANCELLED, false, false},
         };
     }
 
+    /** Among many gatherers each meets a server too seldom for three failures to come in time. */
     @Test(dataProvider = "failing")
-    public void serverThatFailsInARowIsSetAsideAndTrickledBack(int failures, Ending how, boolean aside) {
+    public void failingServerIsLeftThenSetAsideThenTriedAgain(int failures, Ending how, boolean left, boolean aside) {
+        Play calm = failed(failures, how);
+        assertEquals(askedAfter(calm, "calm", true), !left);
+        calm.waitFor(21_000);
+        assertTrue(askedAfter(calm, "later", true));
+        assertEquals(askedAfter(failed(failures, how), "busy", false), !aside);
+    }
+
+    private Play failed(int failures, Ending how) {
         Play play = fresh().start();
         int failed = 0;
-        for (int i = 0; failed < failures; i++) {
+        for (int i = 0; failed < failures && i < 40; i++) {
+            play.waitFor(20_000);
+            play.done.clear();
             play.scan("f" + i, Play.ALL, 4, 4000);
             for (var sent : List.copyOf(play.dispatches().entrySet())) {
-                if (sent.getKey().startsWith("f" + i + "/")) {
-                    boolean fails = sent.getValue().get(0).equals("a") && failed < failures;
-                    failed += fails ? 1 : 0;
-                    play.end(sent.getKey(), 0, fails ? how : Ending.COMPLETED);
-                    if (sent.getValue().size() > 1 || play.dispatches().get(sent.getKey()).size() > 1) {
-                        play.end(sent.getKey(), 1, Ending.COMPLETED);
-                    }
+                boolean fails = sent.getValue().get(0).equals("a") && failed < failures;
+                failed += fails ? 1 : 0;
+                play.end(sent.getKey(), 0, fails ? how : Ending.COMPLETED);
+                if (play.dispatches().get(sent.getKey()).size() > 1) {
+                    play.end(sent.getKey(), 1, Ending.COMPLETED);
                 }
             }
         }
+        assertEquals(failed, failures);
+        return play;
+    }
+
+    private static boolean askedAfter(Play play, String id, boolean completed) {
         play.done.clear();
         for (int i = 0; i < 20; i++) {
-            completeAll(play, "t" + i);
-        }
-        assertEquals(play.all(Action.Dispatch.class).stream().noneMatch(d -> d.server().equals("a")), aside);
-        play.waitFor(1100);
-        play.done.clear();
-        for (int i = 0; i < 20; i++) {
-            completeAll(play, "u" + i);
+            if (completed) {
+                completeAll(play, id + i);
+            } else {
+                play.scan(id + i, Play.ALL, 4, 4000);
+            }
         }
-        assertTrue(play.all(Action.Dispatch.class).stream().anyMatch(d -> d.server().equals("a")));
+        return play.all(Action.Dispatch.class).stream().anyMatch(d -> d.server().equals("a"));
     }
 
     private static void completeAll(Play play, String id) {
@@ -259,6 +271,34 @@
         assertTrue(most < 250 || toCold > 0);
     }
 
+    @DataProvider
+    Object[][] lots() {
+        return new Object[][] {
+            // gatherers, the cold server's age, the least and the most of them that may send to it in one window
+            {100, 10, 2, 25}, {100, 5000, 15, 45}, {100, 20_000, 100, 100},
+        };
+    }
+
+    /** With many gatherers each one's part of a cold budget is under one part's work, and nobody would send. */
+    @Test(dataProvider = "lots")
+    public void gatherersDrawLotsForAColdServer(int gatherers, double age, int least, int most) {
+        int senders = 0;
+        for (int seed = 0; seed < gatherers; seed++) {
+            Play play = fresh();
+            play.seed = seed * 0x9E3779B97F4A7C15L;
+            play.gatherers = gatherers;
+            play.now = 100_000;
+            play.start();
+            play.tell(new Event.ListReceived(false,
+                    List.of(Play.listing("a", 0, play.now - age, Listing.Mode.RUNNING))));
+            boolean asked = askedAfter(play, "s", true);
+            senders += asked ? 1 : 0;
+            assertTrue(age > 10_000 || play.all(Action.Dispatch.class).stream()
+                    .filter(d -> d.server().equals("a")).count() <= 1);
+        }
+        assertTrue(senders >= least && senders <= most, senders + " senders");
+    }
+
     @Test
     public void furtherDispatchesStayWithinTheirBudget() {
         Play play = fresh();
--- a/src/test/java/sprucehold/Play.java
+++ b/src/test/java/sprucehold/Play.java
@@ -26,6 +26,7 @@
     Deployment.ColdRule coldRule = new Deployment.ColdRule(0.2, 10_000, 2, 1000);
     Deployment.DispatchBudget budget;
     int gatherers = 1;
+    long seed = 7;
     Deployment.ListAccess listAccess = new Deployment.ListAccess(false, 10_000);
     List<Customer> customers = List.of();
     double now = 1000;
@@ -44,7 +45,7 @@
 
     /** Four cells of one server each, a to d; segment s is held by the servers of cells s and s + 1. */
     Play start() {
-        brain = new Brain(7, new Deployment(gatherers, "z", 5, 0.2, List.of(ALL, ANY, PARTIAL, ONCE, KEYED, STEPS), customers,
+        brain = new Brain(seed, new Deployment(gatherers, "z", 5, 0.2, List.of(ALL, ANY, PARTIAL, ONCE, KEYED, STEPS), customers,
                 layout, limits, coldRule, budget, listAccess));
         var entries = new ArrayList<Listing>();
         for (int cell = 0; cell < 4; cell++) {
