Turn away a growing share of scans while even the quicker parts are slow

Cause: room counts a gatherer's own parts, and with fifty gatherers hardly any server has one of ours out; queues built up by all together show in times alone. Should also serve a shared dependency that slows everything; harms where slowness isn't load and lasts.

--- a/src/main/java/sprucehold/Brain.java
+++ b/src/main/java/sprucehold/Brain.java
@@ -206,19 +206,28 @@
     private static final class Times {
         private static final int BINS = 18;
         private final double[] counts = new double[BINS];
+        private final int keep;
         private double total;
 
+        /** @param keep how many are held at most before all are halved, so that old times fade */
+        Times(int keep) {
+            this.keep = keep;
+        }
+
         void add(double ms) {
             int bin = (int) Math.ceil(Math.log(Math.max(ms, 10) / 10) / Math.log(1.6));
             counts[Math.min(bin, BINS - 1)]++;
             total++;
-            // Halved at 200: some ten seconds of a quiet gatherer's parts, so that old times fade.
-            if (total >= 200) {
-                total = 0;
-                for (int i = 0; i < BINS; i++) {
-                    counts[i] /= 2;
-                    total += counts[i];
-                }
+            if (total >= keep) {
+                halve();
+            }
+        }
+
+        void halve() {
+            total = 0;
+            for (int i = 0; i < BINS; i++) {
+                counts[i] /= 2;
+                total += counts[i];
             }
         }
 
@@ -245,7 +254,8 @@
         for (int i = 0; i < facts.layout().cells(); i++) {
             cells.add(new ArrayList<>());
         }
-        facts.tableTypes().forEach(type -> timesByType.put(type, new Times()));
+        // 200: some ten seconds of a quiet gatherer's parts.
+        facts.tableTypes().forEach(type -> timesByType.put(type, new Times(200)));
         facts.customers().forEach(customer -> allowances.put(customer, 0.0));
         allowancesAt = Double.NaN;
     }
@@ -734,6 +744,8 @@
             return;
         }
         sent.overdue = true;
+        // It will take longer still, but by then it is too late to know.
+        slowness.add(1000 * Math.max(0.5, (now - sent.at) / sent.part.scan.type.targetMs()));
         late(sent.srv);
         // One that still answers is slow; while the fleet as a whole is, setting it aside only loads the others.
         if (sent.srv.answeredAt < sent.at || servedShare >= 0.6) {
@@ -778,6 +790,9 @@
         part.mayHaveRun |= !ended.ending().provesNeverRan;
         if (ended.ending() == Ending.COMPLETED) {
             timesByType.get(scan.type).add(ended.tookMs());
+            if (!sent.overdue) {
+                slowness.add(1000 * ended.tookMs() / scan.type.targetMs());
+            }
             sent.srv.answeredAt = now;
             sent.srv.answeredOfAt = Math.max(sent.srv.answeredOfAt, sent.at);
             if (!sent.overdue) {
@@ -842,6 +857,10 @@
         if (!scan.counted) {
             scan.counted = true;
             scan.overShare = customer != null && !spend(customer);
+            if (tooMuch(scan)) {
+                throttle(scan);
+                return Admission.NEVER;
+            }
         }
         // A client that leaves before a quarter of the parts are usually in won't see an answer: its scan, and the
         // tries that follow it, would only take servers from others. Harmless to a client that asks again in time.
@@ -871,6 +890,33 @@
         return Admission.LATER;
     }
 
+    /** Recent parts' times as thousandths of their target time. */
+    private final Times slowness = new Times(32);
+    private double pressure;
+    private double pressureAt;
+    private double usualBenefit;
+
+    /**
+     * Whether a scan is turned away because the fleet as a whole is slow. What many gatherers send piles up at
+     * servers of which each has next to nothing out, so only time tells: while even the quicker parts take more than
+     * a third of their target time, a growing share of scans is turned away, and a shrinking one once they don't. The
+     * quickest quarter, so that a part of the fleet that is slow by itself changes nothing.
+     */
+    private boolean tooMuch(Scan scan) {
+        double seconds = (now - pressureAt) / 1000;
+        if (seconds >= 0.5) {
+            // Few times are worse than old ones: without any the pressure falls.
+            double over = slowness.quantile(0.25, 0) / 1000 - 0.35;
+            pressure = Math.max(0, Math.min(0.9, pressure + Math.min(1, seconds) * over));
+            pressureAt = now;
+            slowness.halve();
+        }
+        // What brings less than usual for each part goes first, though never more than four times as readily.
+        double brings = benefit(scan) / Math.max(1, scan.needed());
+        usualBenefit = usualBenefit == 0 ? brings : usualBenefit + 0.05 * (brings - usualBenefit);
+        return chance.nextDouble() < pressure * Math.max(0.5, Math.min(2, usualBenefit / brings));
+    }
+
     private double benefit(Scan scan) {
         return scan.type.benefit() * (scan.overShare ? facts.overShareBenefit() : 1);
     }
