--- a/src/main/java/sprucehold/Brain.java
+++ b/src/main/java/sprucehold/Brain.java
@@ -906,8 +906,8 @@
         double seconds = (now - pressureAt) / 1000;
         if (seconds >= 0.5) {
             // Few times are worse than old ones: without any the pressure falls.
-            double over = slowness.quantile(0.25, 0) / 1000 - 0.35;
-            pressure = Math.max(0, Math.min(0.9, pressure + Math.min(1, seconds) * over));
+            double over = slowness.quantile(0.4, 0) / 1000 - 0.35;
+            pressure = Math.max(0, Math.min(0.9, pressure + Math.min(1, seconds) * 1.5 * over));
             pressureAt = now;
             slowness.halve();
         }
