A broken part goes again only once another part of its scan is completed

Told apart from a crash by the scan: none of its parts ever completes, while a quarter of all dispatches found no connection at servers that were sound before. Should guard against anything a scan itself does to servers; costs a sound scan on a breaking link the wait for its quickest part. Servers out of reach are set aside from two seconds on.

--- a/src/main/java/sprucehold/Brain.java
+++ b/src/main/java/sprucehold/Brain.java
@@ -127,6 +127,7 @@
         Round round;
         boolean completed;
         boolean mayHaveRun;
+        boolean broken;
         /** Of a first step that has been answered. */
         boolean past;
 
@@ -540,8 +541,10 @@
         // Three in a row: one may be chance, two a pause; a quiet gatherer can't wait for more. A server that can't
         // be reached is down or full, and there is nothing to wait for.
         if ((srv.failuresInRow >= 3 || unreachable) && now >= srv.asideUntil) {
-            // A second at first, twice as long each time it comes to nothing, up to four.
-            srv.asideMs = Math.min(4000, Math.max(1000, 2 * srv.asideMs));
+            // A second at first, twice as long each time it comes to nothing, up to four; two and eight for one that
+            // can't be reached, which takes a process some seconds to mend.
+            double first = unreachable ? 2000 : 1000;
+            srv.asideMs = Math.min(4 * first, Math.max(first, 2 * srv.asideMs));
             srv.asideUntil = now + srv.asideMs;
             srv.room = 1;
         }
@@ -695,7 +698,9 @@
         var parts = List.copyOf(waitingParts);
         waitingParts.clear();
         for (Part part : parts) {
-            if (mayDispatch(part) && !part.isOut()) {
+            if (held(part) && !part.scan.over) {
+                waitingParts.add(part);
+            } else if (mayDispatch(part) && !part.isOut()) {
                 send(part, part.sent.isEmpty() ? choose(part, part.scan.position) : leastLoaded(part));
             }
         }
@@ -719,7 +724,7 @@
         if (part.sent.isEmpty()) {
             return true;
         }
-        if (part.isOut() && !facts.limits().secondCopies()) {
+        if (part.isOut() && !facts.limits().secondCopies() || held(part)) {
             return false;
         }
         boolean mayHaveRun = part.mayHaveRun || part.isOut();
@@ -739,6 +744,15 @@
         return furtherAt.size() + 1 <= budget.free() + budget.perTaken() * takenAt.size();
     }
 
+    /**
+     * A part whose connection broke goes again only once another part of its scan is completed. Guards against scans
+     * that bring down the servers that begin them, which would go on to the next holders: none of their parts ever
+     * completes. It costs a sound scan the wait for its quickest part.
+     */
+    private boolean held(Part part) {
+        return part.broken && part.scan.completed() == 0;
+    }
+
     private void overdue(Sent sent) {
         if (!sent.out) {
             return;
@@ -815,8 +829,11 @@
                 // A time-out before the part was late tells of the client's haste, not of the server.
                 failed(sent.srv, ended.ending() == Ending.UNCONNECTED);
             }
+            part.broken |= ended.ending() == Ending.RESET;
             if (wanted && !part.isOut()) {
-                if (mayDispatch(part)) {
+                if (held(part)) {
+                    waitingParts.add(part);
+                } else if (mayDispatch(part)) {
                     send(part, leastLoaded(part));
                 }
                 settle(scan);
@@ -948,13 +965,20 @@
             answer(scan, true);
             return;
         }
-        double possible = scan.parts.stream().filter(p -> p.completed || p.isOut() || mayDispatch(p))
+        boolean anyOut = scan.parts.stream().anyMatch(Part::isOut);
+        double possible = scan.parts.stream()
+                .filter(p -> p.completed || p.isOut() || mayDispatch(p) || anyOut && held(p))
                 .mapToDouble(p -> p.weight).sum();
         // Nothing more can come, or not enough.
         if (possible < scan.least() - 1e-6 || possible <= weight) {
             end(scan);
             return;
         }
+        // Nothing asked for is left but broken parts: the next round's would break as well.
+        if (weight == 0 && !anyOut && scan.parts.stream().anyMatch(p -> p.broken)) {
+            end(scan);
+            return;
+        }
         Round round = scan.rounds.get(scan.rounds.size() - 1);
         // Over when all its parts are settled.
         if (round.parts.stream().allMatch(p -> p.completed || !p.isOut() && !mayDispatch(p))) {
