Judge hasty clients by the time of all the parts their scan needs

Told from slow servers by the time-outs lying on all servers and one customer alike. Harms a client whose parts happen to be quick.

--- a/src/main/java/sprucehold/Brain.java
+++ b/src/main/java/sprucehold/Brain.java
@@ -342,7 +342,7 @@
             }
         }
         // At the most a gatherer may hold the next scan is lost unseen: rather the waiting one that brings least.
-        int open = scansById.values().stream().mapToInt(scan -> 1 + scan.parts.size()).sum();
+        int open = waiting.isEmpty() ? 0 : scansById.values().stream().mapToInt(scan -> 1 + scan.parts.size()).sum();
         while (!waiting.isEmpty() && open > 0.9 * facts.limits().maxOpen()) {
             Scan least = waiting.remove(waiting.size() - 1);
             open -= 1 + least.parts.size();
@@ -562,7 +562,7 @@
         if (srv.room < Srv.USUAL_ROOM) {
             srv.room = Math.min(Srv.USUAL_ROOM, now - srv.roomCutAt < 2000 ? srv.room + 0.5 : 2 * srv.room);
         } else if (soon && srv.out.size() + 1 >= srv.room / 2) {
-            // Within a quarter of the target time: more may wait there and a further dispatch still be in time.
+            // Within a quarter of the target time: more may wait there and a further dispatch be in time.
             srv.room += 1 / srv.room;
         }
     }
@@ -872,9 +872,8 @@
                 return Admission.NEVER;
             }
         }
-        // A client that leaves before a quarter of the parts are usually in won't see an answer: its scan would only
-        // take servers from others.
-        if (scan.endsAt - now < timesByType.get(scan.type).quantile(0.25, 0)) {
+        // A client that in three cases of four leaves before all needed parts are in only takes servers from others.
+        if (scan.endsAt - now < timesByType.get(scan.type).quantile(Math.pow(0.25, 1.0 / scan.needed()), 0)) {
             throttle(scan);
             return Admission.NEVER;
         }
