--- a/src/main/java/sprucehold/Brain.java
+++ b/src/main/java/sprucehold/Brain.java
@@ -872,8 +872,8 @@
                 return Admission.NEVER;
             }
         }
-        // A client that in three cases of four leaves before all needed parts are in only takes servers from others.
-        if (scan.endsAt - now < timesByType.get(scan.type).quantile(Math.pow(0.25, 1.0 / scan.needed()), 0)) {
+        // A client that more likely than not leaves before all needed parts are in only takes servers from others.
+        if (scan.endsAt - now < timesByType.get(scan.type).quantile(Math.pow(0.5, 1.0 / scan.needed()), 0)) {
             throttle(scan);
             return Admission.NEVER;
         }
