--- a/src/main/java/sprucehold/Brain.java
+++ b/src/main/java/sprucehold/Brain.java
@@ -603,12 +603,12 @@
             return true;
         }
         // Where a gatherer's part of the budget is less than a part's work, nobody would ever send: the gatherers
-        // draw lots instead, each window anew, and a winner may have one part out in it. Lots fall as often as the
-        // server can do its work, so all together send what they would send it warm, scaled down by its share;
-        // halved, so that it may be its segments' last holder.
+        // draw lots instead, each window anew, and a winner may have one part out in it. So all together send what
+        // they would send it warm, scaled by its share and by the rule's multiple over two and a half: the one is
+        // what the server can do, the other leaves it room to be its segments' last holder.
         if (now >= srv.lotUntil) {
             srv.lotUntil = now + rule.windowMs();
-            srv.lotWon = chance.nextDouble() < share / 2;
+            srv.lotWon = chance.nextDouble() < share * rule.multiple() / 2.5;
         }
         return srv.lotWon && sent == 0;
     }
