--- a/src/main/java/sprucehold/Brain.java
+++ b/src/main/java/sprucehold/Brain.java
@@ -873,7 +873,8 @@
             }
         }
         // A client that more likely than not leaves before all needed parts are in only takes servers from others.
-        if (scan.endsAt - now < timesByType.get(scan.type).quantile(Math.pow(0.5, 1.0 / scan.needed()), 0)) {
+        double usual = timesByType.get(scan.type).quantile(Math.pow(0.5, 1.0 / scan.needed()), 0);
+        if (scan.endsAt < scan.targetAt() && scan.endsAt - now < usual) {
             throttle(scan);
             return Admission.NEVER;
         }
