--- a/src/main/java/sprucehold/Brain.java
+++ b/src/main/java/sprucehold/Brain.java
@@ -883,7 +883,10 @@
         int placeable = 0;
         for (Part part : scan.parts) {
             Srv srv = choose(part, scan.position);
-            if (srv != null) {
+            if (srv != null && srv.suspect(now) && srv.failuresInRow > 1) {
+                // Every holder failed lately, more than once: the scan would most likely come late.
+                return Admission.LATER;
+            } else if (srv != null) {
                 wanted.merge(srv, 1, Integer::sum);
             } else if (holders(part.segment).stream().noneMatch(holder -> holder.running)) {
                 placeable++;
