A scan waits while every holder of one of its parts failed twice and within the last second

Where servers of one cell or stretch are lost, the rest of it fills up unseen by each of many gatherers; their late parts tell. Harms where all holders fail by chance at once.

--- a/src/main/java/sprucehold/Brain.java
+++ b/src/main/java/sprucehold/Brain.java
@@ -179,7 +179,7 @@
         double answeredAt = Double.NEGATIVE_INFINITY;
         /** When the latest part that it has answered went out. */
         double answeredOfAt = Double.NEGATIVE_INFINITY;
-        double suspectUntil;
+        double failedAt;
         double asideUntil;
         double asideMs;
         final ArrayDeque<double[]> coldSends = new ArrayDeque<>();
@@ -194,7 +194,8 @@
         }
 
         boolean suspect(double now) {
-            return failuresInRow > 0 && now < suspectUntil;
+            // Five seconds for each: about as long as a quiet gatherer takes to meet a server again.
+            return failuresInRow > 0 && now < failedAt + 5000 * Math.min(4, failuresInRow);
         }
     }
 
@@ -533,8 +534,7 @@
 
     private void failed(Srv srv, boolean unreachable) {
         srv.failuresInRow++;
-        // Five seconds: about as long as a quiet gatherer takes to meet a server again.
-        srv.suspectUntil = now + 5000 * Math.min(4, srv.failuresInRow);
+        srv.failedAt = now;
         // Three in a row: one may be chance, two a pause; a quiet gatherer can't wait for more. A server that can't
         // be reached is down or full, and there is nothing to wait for.
         if ((srv.failuresInRow >= 3 || unreachable) && now >= srv.asideUntil) {
@@ -883,8 +883,8 @@
         int placeable = 0;
         for (Part part : scan.parts) {
             Srv srv = choose(part, scan.position);
-            if (srv != null && srv.suspect(now) && srv.failuresInRow > 1) {
-                // Every holder failed lately, more than once: the scan would most likely come late.
+            if (srv != null && srv.failuresInRow > 1 && now < srv.failedAt + 1000) {
+                // Every holder failed within the last second, more than once: the scan would most likely come late.
                 return Admission.LATER;
             } else if (srv != null) {
                 wanted.merge(srv, 1, Integer::sum);
