--- a/src/main/java/sprucehold/Brain.java
+++ b/src/main/java/sprucehold/Brain.java
@@ -883,8 +883,8 @@
         int placeable = 0;
         for (Part part : scan.parts) {
             Srv srv = choose(part, scan.position);
-            if (srv != null && srv.failuresInRow > 1 && now < srv.failedAt + 1000) {
-                // Every holder failed within the last second, more than once: the scan would most likely come late.
+            if (srv != null && srv.failuresInRow > 1 && now < srv.failedAt + scan.type.targetMs()) {
+                // Every holder failed more than once and within a target time: the scan would most likely come late.
                 return Admission.LATER;
             } else if (srv != null) {
                 wanted.merge(srv, 1, Integer::sum);
