--- a/src/main/java/sprucehold/Brain.java
+++ b/src/main/java/sprucehold/Brain.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.TreeMap;
@@ -20,16 +21,17 @@
 import sprucehold.port.TableType;
 
 /**
- * All decisions of one gatherer. It is called through {@link #decide}, the one entry point: what happened goes
- * in, what is to be done comes out. The interface is the package {@link sprucehold.port}; nothing else calls it.
+ * All decisions of one gatherer. It is called through {@link #decide}, the one entry point: what happened
+ * goes in, what is to be done comes out. The interface is the package {@link sprucehold.port}; nothing else
+ * calls it.
  *
- * <p>The design (docs/design.md) decides the ordinary path: rounds, their width, and the position rule. Beside
- * it stand six mechanisms:
+ * <p>The design (docs/design.md) decides the ordinary path: rounds, their width, and the position rule.
+ * Beside it stand six mechanisms:
  * <ol>
  * <li>set-aside: what may be out at a shard server shrinks while it is late; one that fails in a row gets no
  * parts, then a trickle that doubles;
- * <li>cold budget: a shard server that has just started is sent no more than this gatherer's part of its limit;
- * <li>list following: nothing goes to a server reported draining or gone; the list is asked for where it must be;
+ * <li>cold budget: a server that has just started is sent this gatherer's part of its limit, or by lot;
+ * <li>list following: nothing goes to a server reported draining or gone; the list is asked for if need be;
  * <li>further dispatches: other tries and second copies, within what table type, limits and budget allow;
  * <li>throttling: scans that would come to nothing are turned away as they arrive;
  * <li>endings: when a scan is answered, and when it is given up.
@@ -38,6 +40,8 @@
 public final class Brain implements Gatherer {
     private final Deployment facts;
     private final Random chance;
+    /** More gatherers than a server's usual room: rooms of one each overfill it, and only its times tell. */
+    private final boolean crowded;
     private double now;
     private List<Action> todo = new ArrayList<>();
 
@@ -59,7 +63,7 @@
     private long alarmsSet;
     private double wakeAt = Double.POSITIVE_INFINITY;
 
-    /** The design's estimate: its starting share is one, so that a first scan isn't asked in full for nothing. */
+    /** The design's estimate. It starts at one, so that a first scan isn't asked in full for nothing. */
     private double servedShare = 1;
 
     private record Alarm(double at, long turn, Runnable task) {
@@ -167,7 +171,6 @@
     private static final class Srv {
         final String id;
         int cell;
-        String zone;
         double startedAt;
         boolean running;
         final List<Sent> out = new ArrayList<>();
@@ -206,7 +209,6 @@
         private final int keep;
         private double total;
 
-        /** @param keep how many are held at most before all are halved, so that old times fade */
         Times(int keep) {
             this.keep = keep;
         }
@@ -228,7 +230,7 @@
             }
         }
 
-        /** The upper edge of the bin in which this share of the times is reached; {@code unknown} if too few. */
+        /** The upper edge of the bin in which this share is reached; {@code unknown} if times are too few. */
         double quantile(double share, double unknown) {
             // Twelve times tell a quantile well enough for a bin this wide.
             if (total < 12) {
@@ -248,6 +250,7 @@
     public Brain(long seed, Deployment facts) {
         this.facts = facts;
         this.chance = new Random(seed);
+        this.crowded = facts.gatherers() > Srv.USUAL_ROOM;
         for (int i = 0; i < facts.layout().cells(); i++) {
             cells.add(new ArrayList<>());
         }
@@ -263,11 +266,11 @@
         for (Event event : events) {
             if (event instanceof Event.ScanTaken taken) {
                 take(taken);
-                countTaken();
+                takenAt.add(now);
             } else if (event instanceof Event.PartTaken taken) {
                 Scan scan = scansByNumber.get(taken.scanNumber());
                 var part = new Part(taken, scan);
-                countTaken();
+                takenAt.add(now);
                 scan.parts.add(part);
                 partsById.put(part.id, part);
                 if (!waiting.contains(scan)) {
@@ -330,9 +333,10 @@
         for (var scans = waiting.iterator(); scans.hasNext();) {
             Scan scan = scans.next();
             // A quarter of the target time leaves half for a round and some to spare for a further dispatch.
-            boolean patient = scan.secondStep || now < scan.takenAt + Math.min(scan.type.targetMs(), scan.endsAt - scan.takenAt) / 4;
-            // After sixteen in vain there is hardly room for others: a flood mustn't cost more to look through than
-            // to serve.
+            double patience = Math.min(scan.type.targetMs(), scan.endsAt - scan.takenAt) / 4;
+            boolean patient = scan.secondStep || now < scan.takenAt + patience;
+            // After sixteen in vain there is hardly room for others: a flood mustn't cost more to look
+            // through than to serve.
             if (!scan.over && patient && inVain < 16 && !start(scan)) {
                 inVain++;
             } else if (!scan.over && !patient) {
@@ -342,8 +346,9 @@
                 scans.remove();
             }
         }
-        // At the most a gatherer may hold the next scan is lost unseen: rather the waiting one that brings least.
-        int open = waiting.isEmpty() ? 0 : scansById.values().stream().mapToInt(scan -> 1 + scan.parts.size()).sum();
+        // At the most a gatherer may hold the next scan is lost unseen: rather the waiting one that brings
+        // least.
+        int open = waiting.isEmpty() ? 0 : scansByNumber.size() + partsById.size();
         while (!waiting.isEmpty() && open > 0.9 * facts.limits().maxOpen()) {
             Scan least = waiting.remove(waiting.size() - 1);
             open -= 1 + least.parts.size();
@@ -367,9 +372,9 @@
         // The document cuts the estimate by a tenth, so that a first round is more often enough.
         double estimate = 0.9 * servedShare;
         int width = estimate <= 0 ? 1 : (int) Math.ceil(scan.needed() / estimate - 1e-9);
-        // One part, as for an estimate of zero, where a scan of this customer lately broke all its connections: the
-        // rest follows once that part is completed. Guards servers against scans that bring them down, at the price
-        // of one part's time for the customer's sound ones. Twenty seconds: a gatherer meets few of such scans.
+        // One part, as for an estimate of zero, where a scan of this customer lately broke all its
+        // connections. Guards servers against scans that bring them down; costs the customer's sound ones a
+        // part's time.
         if (now < brokenUntil.getOrDefault(scan.taken.customer(), 0.0) && !scan.secondStep) {
             width = 1;
         }
@@ -384,7 +389,7 @@
         double least = Double.POSITIVE_INFINITY;
         for (int position = 0; position < positions; position++) {
             int wanted = position;
-            double load = scan.parts.stream().map(p -> choose(p, wanted)).filter(srv -> srv != null).distinct()
+            double load = scan.parts.stream().map(p -> choose(p, wanted)).filter(Objects::nonNull).distinct()
                     .mapToDouble(this::load).sum();
             if (load < least) {
                 least = load;
@@ -398,10 +403,7 @@
         return best;
     }
 
-    /**
-     * This gatherer's parts out at a server, by call where parts share calls. Failures in a row count as parts
-     * out, or a server that fails fast would look idle and draw whole scans.
-     */
+    /** This gatherer's parts out at a server, by call where shared; who fails fast mustn't look idle. */
     private double load(Srv srv) {
         double out = srv.out.size();
         if (facts.layout().callParts() > 1 && out > 1) {
@@ -422,8 +424,9 @@
         long underWay = scan.parts.stream().filter(p -> p.completed || p.isOut()).count();
         for (Part part : unsent.subList(0, Math.min(width, unsent.size()))) {
             Srv srv = choose(part, scan.position);
-            // What a round asks for beyond the need doesn't queue at a server half of whose room is used: others
-            // may not be able to do without it, as when one cell has lost servers. It waits for a later round.
+            // What a round asks for beyond the need doesn't queue at a server half of whose room is used:
+            // others may not be able to do without it, as when one cell has lost servers. It waits for a
+            // later round.
             boolean busy = srv == null || outOfOthers(srv, scan) > 0 && srv.out.size() >= srv.room / 2;
             if (busy && underWay >= scan.needed()) {
                 break;
@@ -478,7 +481,7 @@
         return all;
     }
 
-    /** The holder at the position, or where it may not be used the least loaded other one; null if none may. */
+    /** The holder at the position, or if it may not be used the least loaded other; null if none may. */
     private Srv choose(Part part, int position) {
         List<Srv> holders = holders(part.segment);
         if (holders.isEmpty()) {
@@ -488,9 +491,8 @@
         if (!mayUse(wanted, part)) {
             return leastLoaded(part);
         }
-        // A part leaves a server that failed lately, for one that didn't: with many gatherers each meets a server
-        // so seldom that three failures in a row would come too late. Guards against silent, slow and cut-off
-        // servers before they are set aside; on a fleet that fails everywhere it changes nothing.
+        // A part leaves a server that failed lately for one that didn't: each of many gatherers meets a
+        // server too seldom for three failures in a row. Guards against silent, slow and cut-off servers.
         if (wanted.suspect(now)) {
             Srv other = leastLoaded(part);
             return other == null || other.suspect(now) ? wanted : other;
@@ -535,13 +537,11 @@
     private void failed(Srv srv, boolean unreachable) {
         srv.failuresInRow++;
         srv.failedAt = now;
-        // Three in a row: one may be chance, two a pause; a quiet gatherer can't wait for more. A server that can't
-        // be reached is down or full, and there is nothing to wait for.
+        // Three in a row: one may be chance, two a pause; a quiet gatherer can't wait for more. A server that
+        // can't be reached is down or full, and there is nothing to wait for.
         if ((srv.failuresInRow >= 3 || unreachable) && now >= srv.asideUntil) {
-            // A second at first, twice as long each time it comes to nothing, up to four; two and eight for one that
-            // can't be reached, which takes a process some seconds to mend.
-            double first = unreachable ? 2000 : 1000;
-            srv.asideMs = Math.min(4 * first, Math.max(first, 2 * srv.asideMs));
+            // A second at first, twice as long each time it comes to nothing, up to four.
+            srv.asideMs = Math.min(4000, Math.max(1000, 2 * srv.asideMs));
             srv.asideUntil = now + srv.asideMs;
             srv.room = 1;
         }
@@ -549,7 +549,8 @@
 
     /** A part is late there: too much is out at the server, whoever sent it. */
     private void late(Srv srv) {
-        // Once for what was out together, by three tenths: a usual cut, so that room settles rather than swings.
+        // Once for what was out together, by three tenths: a usual cut, so that room settles rather than
+        // swings.
         if (now - srv.roomCutAt > 200) {
             srv.roomCutAt = now;
             srv.room = Math.max(1, 0.7 * srv.room);
@@ -578,11 +579,13 @@
     private double coldShare(Srv srv) {
         double age = now - srv.startedAt;
         var rule = facts.coldRule();
-        return srv.startedAt <= 0 || age >= rule.warmAfterMs() ? 1 : rule.startShare() + (1 - rule.startShare()) * Math.max(0, age) / rule.warmAfterMs();
+        double warmth = srv.startedAt <= 0 ? 1 : Math.min(1, Math.max(0, age) / rule.warmAfterMs());
+        return rule.startShare() + (1 - rule.startShare()) * warmth;
     }
 
     private double workOf(TableType type) {
-        // The shortest tenth of the times has next to no waiting in it; before any are known, a quarter target.
+        // The shortest tenth of the times has next to no waiting in it; before any are known, a quarter
+        // target.
         return timesByType.get(type).quantile(0.1, type.targetMs() / 4);
     }
 
@@ -602,10 +605,10 @@
         if (sent + work <= own) {
             return true;
         }
-        // Where a gatherer's part of the budget is less than a part's work, nobody would ever send: the gatherers
-        // draw lots instead, each window anew, and a winner may have one part out in it. So all together send what
-        // they would send it warm, scaled by its share and by the rule's multiple over two and a half: the one is
-        // what the server can do, the other leaves it room to be its segments' last holder.
+        // Where a gatherer's part of the budget is under one part's work nobody would ever send: gatherers
+        // draw lots, each window anew, for one part. Together they send what they would send it warm, scaled
+        // by what it can do and by the rule's multiple over two and a half, so that it may be its segments'
+        // last holder.
         if (now >= srv.lotUntil) {
             srv.lotUntil = now + rule.windowMs();
             srv.lotWon = chance.nextDouble() < share * rule.multiple() / 2.5;
@@ -626,7 +629,6 @@
         for (Listing entry : list.servers()) {
             Srv srv = srvsById.computeIfAbsent(entry.server(), Srv::new);
             cells.get(srv.cell).remove(srv);
-            srv.zone = entry.zone();
             srv.cell = entry.cell();
             srv.running = entry.mode() == Listing.Mode.RUNNING;
             if (entry.startedAtMs() != srv.startedAt) {
@@ -649,8 +651,7 @@
     }
 
     private void listUnavailable() {
-        // Doubling and spread waits keep a struggling list service from being flooded; 4 s is well inside the
-        // time within which it must be asked again.
+        // Doubling and spread, not to flood a struggling list service; 4 s is well inside the time to ask.
         double wait = Math.min(4000, 250 * Math.pow(2, Math.min(listFailures++, 6)));
         wait = Math.min(wait, facts.listAccess().askWithinMs() / 2);
         at(now + wait * (0.5 + chance.nextDouble()), () -> todo.add(new Action.FollowList()));
@@ -672,9 +673,7 @@
         }
         var sent = new Sent(part, srv, now);
         if (sent.number > 0) {
-            if (facts.dispatchBudget() != null) {
-                furtherAt.add(now);
-            }
+            furtherAt.add(now);
         } else {
             // A fifth: enough for the shares of a fleet that fail at once, too little to double a full load.
             copyRoom = Math.min(10, copyRoom + 0.2);
@@ -704,15 +703,10 @@
         }
     }
 
-    private void countTaken() {
-        if (facts.dispatchBudget() != null) {
-            takenAt.add(now);
-        }
-    }
-
     private boolean mayDispatch(Part part) {
         Scan scan = part.scan;
-        if (scan.over || part.past || part.completed || part.sent.size() >= facts.limits().dispatchesPerPart()) {
+        int most = facts.limits().dispatchesPerPart();
+        if (scan.over || part.past || part.completed || part.sent.size() >= most) {
             return false;
         }
         if (part.sent.isEmpty()) {
@@ -730,18 +724,15 @@
             return false;
         }
         var budget = facts.dispatchBudget();
-        if (budget == null) {
-            return true;
-        }
         takenAt.removeIf(time -> time <= now - budget.windowMs());
         furtherAt.removeIf(time -> time < now - budget.windowMs() - facts.tickMs());
         return furtherAt.size() + 1 <= budget.free() + budget.perTaken() * takenAt.size();
     }
 
     /**
-     * A part whose connection broke goes again only once another part of its scan is completed. Guards against scans
-     * that bring down the servers that begin them, which would go on to the next holders: none of their parts ever
-     * completes. It costs a sound scan the wait for its quickest part.
+     * A broken part goes again only once another of its scan is completed. Guards against scans that bring
+     * down the servers that begin them and would go on to the next; costs a sound scan the wait for its
+     * quickest part.
      */
     private boolean held(Part part) {
         return part.broken && part.scan.completed() == 0;
@@ -755,7 +746,8 @@
         // It will take longer still, but by then it is too late to know.
         slowness.add(1000 * Math.max(0.5, (now - sent.at) / sent.part.scan.type.targetMs()));
         late(sent.srv);
-        // One that still answers is slow; while the fleet as a whole is, setting it aside only loads the others.
+        // One that still answers is slow; while the fleet as a whole is, setting it aside only loads the
+        // others.
         if (sent.srv.answeredAt < sent.at || servedShare >= 0.6) {
             failed(sent.srv, false);
         }
@@ -771,8 +763,9 @@
                 return true;
             }
             Srv other = copyRoom < 1 ? null : leastLoaded(part);
-            // Only to a server that has nothing of ours, or it makes others late. But a part that later ones have
-            // overtaken is lost on the way and goes wherever there is room: needless where servers don't keep turns.
+            // Only to a server that has nothing of ours, or it makes others late. But a part that later ones
+            // have overtaken is lost on the way and goes wherever there is room: needless where servers don't
+            // keep turns.
             Sent last = part.sent.get(part.sent.size() - 1);
             boolean overtaken = last.overdue && last.srv.answeredOfAt > last.at;
             if (other == null || !other.out.isEmpty() && !overtaken) {
@@ -835,7 +828,6 @@
         forget(part);
     }
 
-    /** Lets go of a part that nothing more can come of. */
     private void forget(Part part) {
         if ((part.scan.over || part.past) && !part.isOut()) {
             partsById.remove(part.id);
@@ -858,21 +850,19 @@
 
     private enum Admission { NOW, LATER, NEVER }
 
-    /**
-     * A scan begins when enough of its parts have a server with room. Until then it waits here, where its parts
-     * cost nothing and can still go to whichever server frees up first.
-     */
+    /** A scan begins when enough of its parts have a server with room; its parts wait at no cost. */
     private Admission admit(Scan scan) {
         Customer customer = scan.taken.customer();
         if (!scan.counted) {
             scan.counted = true;
             scan.overShare = customer != null && !spend(customer);
-            if (tooMuch(scan)) {
+            if (crowded && tooMuch(scan)) {
                 throttle(scan);
                 return Admission.NEVER;
             }
         }
-        // A client that more likely than not leaves before all needed parts are in only takes servers from others.
+        // A client that more likely than not leaves before all needed parts are in only takes servers from
+        // others.
         double usual = timesByType.get(scan.type).quantile(Math.pow(0.5, 1.0 / scan.needed()), 0);
         if (scan.endsAt < scan.targetAt() && scan.endsAt - now < usual) {
             throttle(scan);
@@ -883,8 +873,10 @@
         int placeable = 0;
         for (Part part : scan.parts) {
             Srv srv = choose(part, scan.position);
-            if (srv != null && srv.failuresInRow > 1 && now < srv.failedAt + scan.type.targetMs()) {
-                // Every holder failed more than once and within a target time: the scan would most likely come late.
+            double recently = now - scan.type.targetMs();
+            if (crowded && srv != null && srv.failuresInRow > 1 && srv.failedAt > recently) {
+                // Every holder failed more than once and within a target time: the scan would most likely
+                // come late.
                 return Admission.LATER;
             } else if (srv != null) {
                 wanted.merge(srv, 1, Integer::sum);
@@ -895,7 +887,8 @@
         for (var entry : wanted.entrySet()) {
             int out = entry.getKey().out.size();
             // An idle server takes whatever a scan brings, others as much as they have room for.
-            placeable += out == 0 ? entry.getValue() : Math.min(entry.getValue(), (int) entry.getKey().room - out);
+            int room = (int) entry.getKey().room - out;
+            placeable += out == 0 ? entry.getValue() : Math.min(entry.getValue(), room);
         }
         return placeable >= scan.needed() ? Admission.NOW : Admission.LATER;
     }
@@ -907,15 +900,14 @@
     private double usualBenefit;
 
     /**
-     * Whether a scan is turned away because the fleet as a whole is slow. What many gatherers send piles up at
-     * servers of which each has next to nothing out, so only time tells: while even the quicker parts take more than
-     * a third of their target time, a growing share of scans is turned away, and a shrinking one once they don't. The
-     * quickest quarter, so that a part of the fleet that is slow by itself changes nothing.
+     * Whether a scan is turned away because the fleet as a whole is slow: while even the quicker two fifths
+     * of parts take over a third of their target time, a growing share of scans is, and a shrinking one once
+     * they don't. The quicker ones, so that servers that are slow by themselves change nothing. Harmful where
+     * slowness isn't load.
      */
     private boolean tooMuch(Scan scan) {
         double seconds = (now - pressureAt) / 1000;
         if (seconds >= 0.5) {
-            // Few times are worse than old ones: without any the pressure falls.
             double over = slowness.quantile(0.4, 0) / 1000 - 0.35;
             pressure = Math.max(0, Math.min(0.9, pressure + Math.min(1, seconds) * 1.5 * over));
             pressureAt = now;
@@ -932,9 +924,8 @@
     }
 
     /**
-     * Whether the scan lies within its customer's share of what this gatherer takes: how much of the whole traffic
-     * comes here is not known. Half as much again is granted, since customers seldom ask at the same time, and four
-     * scans may be saved up for bursts that even out.
+     * Whether the scan lies within its customer's share of what this gatherer takes; what part of all that is
+     * isn't known. Half as much again is granted for uneven hours, and four scans may be saved up for bursts.
      */
     private boolean spend(Customer customer) {
         double all = facts.customers().stream().mapToDouble(Customer::scansPerSecond).sum();
@@ -956,6 +947,7 @@
         // Nothing asked for is left but broken parts: the next round's would break as well.
         if (weight == 0 && !anyOut && scan.parts.stream().anyMatch(p -> p.broken)) {
             if (scan.parts.size() > 1) {
+                // Twenty seconds: a gatherer meets few such scans.
                 brokenUntil.put(scan.taken.customer(), now + 20_000);
             }
             end(scan);
--- a/src/main/java/sprucehold/drill/WireReader.java
+++ b/src/main/java/sprucehold/drill/WireReader.java
@@ -57,7 +57,7 @@
                 rules.has("countedOverMs")
                         ? new Deployment.DispatchBudget(rules.path("budgetFree").doubleValue(),
                                 rules.path("extraRatio").doubleValue(), rules.path("countedOverMs").doubleValue())
-                        : null,
+                        : Deployment.DispatchBudget.NONE,
                 new Deployment.ListAccess(params.path("discovery").asText().equals("subscribe"),
                         rules.path("mustAskInMs").doubleValue()));
     }
--- a/src/main/java/sprucehold/port/Deployment.java
+++ b/src/main/java/sprucehold/port/Deployment.java
@@ -31,8 +31,10 @@
     public record ColdRule(double startShare, double warmAfterMs, double multiple, double windowMs) {
     }
 
-    /** The most dispatches beyond each part's first, in any window; null where no budget is stated. */
+    /** The most dispatches beyond each part's first, in any window. */
     public record DispatchBudget(double free, double perTaken, double windowMs) {
+        /** Where no budget is stated. */
+        public static final DispatchBudget NONE = new DispatchBudget(Double.POSITIVE_INFINITY, 0, 0);
     }
 
     /** Whether the list must be asked for, and how often at least while it isn't followed. */
--- a/src/test/java/sprucehold/Play.java
+++ b/src/test/java/sprucehold/Play.java
@@ -24,7 +24,7 @@
     Deployment.Layout layout = new Deployment.Layout(4, 2, 1);
     Deployment.Limits limits = new Deployment.Limits(3, 1000, true, true, 500);
     Deployment.ColdRule coldRule = new Deployment.ColdRule(0.2, 10_000, 2, 1000);
-    Deployment.DispatchBudget budget;
+    Deployment.DispatchBudget budget = Deployment.DispatchBudget.NONE;
     int gatherers = 1;
     long seed = 7;
     Deployment.ListAccess listAccess = new Deployment.ListAccess(false, 10_000);
