--- a/src/main/java/sprucehold/Brain.java
+++ b/src/main/java/sprucehold/Brain.java
@@ -675,8 +675,11 @@
         if (sent.number > 0) {
             furtherAt.add(now);
         } else {
-            // A fifth: enough for the shares of a fleet that fail at once, too little to double a full load.
-            copyRoom = Math.min(10, copyRoom + 0.2);
+            // A fifth: enough for the shares of a fleet that fail at once, too little to double a full load. Saved up
+            // are ten, or half the parts of a large scan, many of which may be late together.
+            if (copyRoom < Math.max(10, part.scan.parts.size() / 2)) {
+                copyRoom += 0.2;
+            }
         }
         part.sent.add(sent);
         srv.out.add(sent);
