Servers of a zone most of whose parts come late are suspect

Cause: gatherers in trouble with one zone's servers met each of these too seldom to tell. Told by zone, hundreds of parts do it in a second; the servers answer everybody else, so it is the way there, not they. Should help in a cut-off zone; a zone left alone is tried again in six seconds.

--- a/src/main/java/sprucehold/Brain.java
+++ b/src/main/java/sprucehold/Brain.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.TreeMap;
@@ -127,7 +128,6 @@
         boolean completed;
         boolean mayHaveRun;
         boolean broken;
-        /** Of a first step that has been answered. */
         boolean past;
 
         Part(Event.PartTaken taken, Scan scan) {
@@ -171,12 +171,12 @@
     private static final class Srv {
         final String id;
         int cell;
+        String zone;
         double startedAt;
         boolean running;
         final List<Sent> out = new ArrayList<>();
         /** Failures, and dispatches that became overdue, since a part last completed in time. */
         int failuresInRow;
-        /** How many dispatches may be out at once. */
         double room = USUAL_ROOM;
         double roomCutAt;
         double answeredAt = Double.NEGATIVE_INFINITY;
@@ -189,17 +189,12 @@
         double lotUntil;
         boolean lotWon;
 
-        /** Four: a small server's cores and as many waiting; it grows and shrinks from there. */
+        /** Dispatches out at once: four, a small server's cores and as many waiting, to grow and shrink from. */
         static final double USUAL_ROOM = 4;
 
         Srv(String id) {
             this.id = id;
         }
-
-        boolean suspect(double now) {
-            // Five seconds for each: about as long as a quiet gatherer takes to meet a server again.
-            return failuresInRow > 0 && now < failedAt + 5000 * Math.min(4, failuresInRow);
-        }
     }
 
     /** Times as a histogram: each bin is 1.6 times as wide as the one before, coarse but never far off. */
@@ -279,19 +274,14 @@
             } else if (event instanceof Event.DispatchEnded ended) {
                 dispatchEnded(ended);
             } else if (event instanceof Event.ClientLeft left) {
-                Scan scan = scansById.get(left.scanId());
-                if (scan != null) {
-                    close(scan);
-                }
+                Optional.ofNullable(scansById.get(left.scanId())).ifPresent(this::close);
             } else if (event instanceof Event.ListReceived list) {
                 listReceived(list);
             } else if (event instanceof Event.ListUnavailable) {
                 listUnavailable();
             }
         }
-        if (wakeAt <= now) {
-            wakeAt = Double.POSITIVE_INFINITY;
-        }
+        wakeAt = wakeAt <= now ? Double.POSITIVE_INFINITY : wakeAt;
         while (!alarms.isEmpty() && alarms.peek().at <= now) {
             alarms.poll().task.run();
         }
@@ -409,7 +399,7 @@
         if (facts.layout().callParts() > 1 && out > 1) {
             out = srv.out.stream().mapToDouble(s -> s.at).distinct().count();
         }
-        return out + srv.failuresInRow;
+        return out + srv.failuresInRow + (lateByZone.getOrDefault(srv.zone, 0.0) > 0.5 ? 1 : 0);
     }
 
     private void sendRound(Scan scan, int width) {
@@ -493,9 +483,9 @@
         }
         // A part leaves a server that failed lately for one that didn't: each of many gatherers meets a
         // server too seldom for three failures in a row. Guards against silent, slow and cut-off servers.
-        if (wanted.suspect(now)) {
+        if (suspect(wanted)) {
             Srv other = leastLoaded(part);
-            return other == null || other.suspect(now) ? wanted : other;
+            return other == null || suspect(other) ? wanted : other;
         }
         return wanted;
     }
@@ -528,6 +518,15 @@
                 && coldRoom(srv, part);
     }
 
+    /** Of each zone's parts the share that was late. Told by zone, trouble on the way there shows in a second. */
+    private final Map<String, Double> lateByZone = new TreeMap<>();
+
+    private boolean suspect(Srv srv) {
+        // Five seconds for each failure: about as long as a quiet gatherer takes to meet a server again.
+        return srv.failuresInRow > 0 && now < srv.failedAt + 5000 * Math.min(4, srv.failuresInRow)
+                || lateByZone.getOrDefault(srv.zone, 0.0) > 0.5;
+    }
+
     private static long outOfOthers(Srv srv, Scan scan) {
         return srv.out.stream().filter(s -> s.part.scan != scan).count();
     }
@@ -630,6 +629,7 @@
             Srv srv = srvsById.computeIfAbsent(entry.server(), Srv::new);
             cells.get(srv.cell).remove(srv);
             srv.cell = entry.cell();
+            srv.zone = entry.zone();
             srv.running = entry.mode() == Listing.Mode.RUNNING;
             if (entry.startedAtMs() != srv.startedAt) {
                 srv.startedAt = entry.startedAtMs();
@@ -748,6 +748,7 @@
         sent.overdue = true;
         // It will take longer still, but by then it is too late to know.
         slowness.add(1000 * Math.max(0.5, (now - sent.at) / sent.part.scan.type.targetMs()));
+        lateByZone.merge(sent.srv.zone, 0.1, (late, one) -> 0.9 * late + one);
         late(sent.srv);
         // One that still answers is slow; while the fleet as a whole is, setting it aside only loads the
         // others.
@@ -799,6 +800,7 @@
             sent.srv.answeredAt = now;
             sent.srv.answeredOfAt = Math.max(sent.srv.answeredOfAt, sent.at);
             if (!sent.overdue) {
+                lateByZone.merge(sent.srv.zone, 0.0, (late, none) -> 0.9 * late);
                 completedInTime(sent.srv, ended.tookMs() < scan.type.targetMs() / 4);
             }
             if (!part.round.timerOver && !part.completed) {
@@ -838,11 +840,8 @@
     }
 
     private void callOff(Part part) {
-        if (!facts.limits().cancel()) {
-            return;
-        }
         for (Sent sent : part.sent) {
-            if (sent.out && !sent.calledOff) {
+            if (sent.out && !sent.calledOff && facts.limits().cancel()) {
                 sent.calledOff = true;
                 todo.add(new Action.Cancel(part.id, sent.number));
             }
@@ -915,6 +914,8 @@
             pressure = Math.max(0, Math.min(0.9, pressure + Math.min(1, seconds) * 1.5 * over));
             pressureAt = now;
             slowness.halve();
+            // A zone left alone is tried again after some six seconds.
+            lateByZone.replaceAll((zone, late) -> 0.95 * late);
         }
         // What brings less than usual for each part goes first, though never more than four times as readily.
         double brings = benefit(scan) / Math.max(1, scan.needed());
