--- a/src/main/java/sprucehold/Brain.java
+++ b/src/main/java/sprucehold/Brain.java
@@ -189,7 +189,7 @@
         double lotUntil;
         boolean lotWon;
 
-        /** Dispatches out at once: four, a small server's cores and as many waiting, to grow and shrink from. */
+        /** Four out at once: a small server's cores and as many waiting, to grow and shrink from. */
         static final double USUAL_ROOM = 4;
 
         Srv(String id) {
@@ -518,7 +518,7 @@
                 && coldRoom(srv, part);
     }
 
-    /** Of each zone's parts the share that was late. Told by zone, trouble on the way there shows in a second. */
+    /** The share of each zone's parts that was late: trouble on the way there shows in a second. */
     private final Map<String, Double> lateByZone = new TreeMap<>();
 
     private boolean suspect(Srv srv) {
@@ -675,8 +675,8 @@
         if (sent.number > 0) {
             furtherAt.add(now);
         } else {
-            // A fifth: enough for the shares of a fleet that fail at once, too little to double a full load. Saved up
-            // are ten, or half the parts of a large scan, many of which may be late together.
+            // A fifth: enough for the shares of a fleet that fail at once, too little to double a full load.
+            // At most ten, or half the parts of a large scan, many of which may be late together.
             if (copyRoom < Math.max(10, part.scan.parts.size() / 2)) {
                 copyRoom += 0.2;
             }
--- a/src/test/java/sprucehold/BrainTest.java
+++ b/src/test/java/sprucehold/BrainTest.java
@@ -541,4 +541,32 @@
         }
         assertEquals(begun < 8, behind, begun + " begun");
     }
+
+    /** Trouble on the way to a zone: a server there is left though it has never failed. */
+    @Test(dataProvider = "overtaking")
+    public void zoneMostOfWhosePartsAreLateIsLeft(boolean late) {
+        Play play = fresh();
+        play.now = 100_000;
+        play.start();
+        play.tell(new Event.ListReceived(false, List.of(far("a", 0, 0), far("c", 2, 0))));
+        for (int i = 0; i < 30; i++) {
+            play.done.clear();
+            play.scan("s" + i, Play.ONCE, 4, 4000);
+            var sent = play.dispatches();
+            sent.forEach((part, servers) -> {
+                if (!late || !"ac".contains(servers.get(0))) {
+                    play.end(part, 0, Ending.COMPLETED);
+                }
+            });
+            play.waitFor(6000);
+            sent.forEach((part, servers) -> play.end(part, 0, Ending.COMPLETED));
+        }
+        // Started again, a has no failures of its own any more.
+        play.tell(new Event.ListReceived(false, List.of(far("a", 0, 1))));
+        assertEquals(askedAfter(play, "t", true), !late);
+    }
+
+    private static Listing far(String server, int cell, double startedAt) {
+        return new Listing(server, cell, "far", startedAt, Listing.Mode.RUNNING);
+    }
 }
