--- a/src/main/java/sprucehold/Brain.java
+++ b/src/main/java/sprucehold/Brain.java
@@ -766,7 +766,7 @@
             if (!part.isOut() || !mayDispatch(part) || now >= part.scan.targetAt()) {
                 return true;
             }
-            Srv other = copyRoom < 1 ? null : leastLoaded(part);
+            Srv other = copyRoom < 1 || pressure > 0.1 ? null : leastLoaded(part);
             // Only to a server that has nothing of ours, or it makes others late. But a part that later ones
             // have overtaken is lost on the way and goes wherever there is room: needless where servers don't
             // keep turns.
