--- a/src/main/java/sprucehold/Brain.java
+++ b/src/main/java/sprucehold/Brain.java
@@ -606,11 +606,11 @@
         }
         // Where a gatherer's part of the budget is under one part's work nobody would ever send: gatherers
         // draw lots, each window anew, for one part. Together they send what they would send it warm, scaled
-        // by what it can do and by the rule's multiple over two and a half, so that it may be its segments'
+        // by what it can do and by the rule's multiple over one and a half, so that it may be its segments'
         // last holder.
         if (now >= srv.lotUntil) {
             srv.lotUntil = now + rule.windowMs();
-            srv.lotWon = chance.nextDouble() < share * rule.multiple() / 2.5;
+            srv.lotWon = chance.nextDouble() < share * rule.multiple() / 1.5;
         }
         return srv.lotWon && sent == 0;
     }
