--- a/src/test/java/sprucehold/BrainTest.java
+++ b/src/test/java/sprucehold/BrainTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import java.util.ArrayList;
 import java.util.List;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -569,4 +570,58 @@
     private static Listing far(String server, int cell, double startedAt) {
         return new Listing(server, cell, "far", startedAt, Listing.Mode.RUNNING);
     }
+
+    @DataProvider
+    Object[][] crowds() {
+        return new Object[][] {
+            // gatherers, how long parts take, whether scans are turned away on arrival
+            {100, 700, true}, {100, 20, false}, {3, 700, false},
+        };
+    }
+
+    /** Among many gatherers a full fleet shows in times alone (i0feb8a). */
+    @Test(dataProvider = "crowds")
+    public void scansAreTurnedAwayWhileTheFleetIsSlow(int gatherers, double took, boolean turnedAway) {
+        Play play = fresh();
+        play.gatherers = gatherers;
+        play.start();
+        boolean any = false;
+        for (int i = 0; i < 40; i++) {
+            play.done.clear();
+            for (int j = 0; j < 4; j++) {
+                List<Action> actions = play.scan("s" + i + "-" + j, Play.ALL, 4, 4000);
+                any |= actions.stream().anyMatch(Action.Throttle.class::isInstance);
+            }
+            play.waitFor(took);
+            play.dispatches().forEach((part, sent) -> play.end(part, 0, Ending.COMPLETED));
+        }
+        assertEquals(any, turnedAway);
+    }
+
+    /** A scan of many parts meets many slow servers at once: as many as half its parts may get a copy. */
+    @Test
+    public void largeScanSavesUpCopiesForHalfItsParts() {
+        Play play = fresh();
+        play.layout = new Deployment.Layout(64, 2, 1);
+        play.start();
+        var entries = new ArrayList<Listing>();
+        for (int cell = 0; cell < 64; cell++) {
+            entries.add(Play.listing(String.format("s%02d", cell), cell, 0, Listing.Mode.RUNNING));
+        }
+        play.tell(new Event.ListReceived(true, entries));
+        for (int i = 0; i < 4; i++) {
+            play.scan("warm" + i, Play.ALL, 64, 4000);
+            play.dispatches().forEach((part, sent) -> play.end(part, 0, Ending.COMPLETED));
+            play.done.clear();
+        }
+        play.scan("s", Play.ALL, 64, 4000);
+        for (int i = 0; i < 64; i++) {
+            if (i % 3 != 0) {
+                play.end("s/" + i, 0, Ending.COMPLETED);
+            }
+        }
+        play.waitFor(600);
+        long copied = play.dispatches().values().stream().filter(sent -> sent.size() > 1).count();
+        assertTrue(copied > 15, copied + " copies");
+    }
 }
