--- a/src/test/java/sprucehold/BrainTest.java
+++ b/src/test/java/sprucehold/BrainTest.java
@@ -624,4 +624,19 @@
         long copied = play.dispatches().values().stream().filter(sent -> sent.size() > 1).count();
         assertTrue(copied > 15, copied + " copies");
     }
+
+    /** Every holder of a part failed twice just now: a stretch that is full, unseen by each of many gatherers. */
+    @Test(dataProvider = "overtaking")
+    public void scanWaitsWhileEveryHolderHasJustFailed(boolean many) {
+        Play play = fresh();
+        play.gatherers = many ? 100 : 1;
+        play.start();
+        for (int i = 0; i < 2; i++) {
+            play.scan("f" + i, Play.ALL, 1, 4000);
+            play.end("f" + i + "/0", 0, Ending.ERROR);
+            play.end("f" + i + "/0", 1, Ending.ERROR);
+        }
+        play.scan("s", Play.ALL, 1, 4000);
+        assertEquals(play.dispatches().containsKey("s/0"), !many);
+    }
 }
