--- /dev/null
+++ b/src/main/java/sprucehold/clients/Desk.java
@@ -0,0 +1,20 @@
+package sprucehold.clients;
+
+import sprucehold.picker.Scan;
+
+/** Where scans are taken. */
+public interface Desk {
+    /** Whether scans can be taken: a list is held, and the gatherer isn't ending. */
+    boolean ready();
+
+    boolean isTableType(String name);
+
+    /** Whether a scan of this id is open. */
+    boolean isOpen(Scan scan);
+
+    /** Takes a scan; its answer comes through {@link ClientServer#answer}, perhaps before this returns. */
+    void take(Scan scan);
+
+    /** The client of a scan has gone. */
+    void left(Scan scan);
+}
--- /dev/null
+++ b/src/main/java/sprucehold/clients/ScanReader.java
@@ -0,0 +1,70 @@
+package sprucehold.clients;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.vertx.core.MultiMap;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.Set;
+import sprucehold.picker.Scan;
+
+/** Reads a client's scan from its headers and body. */
+final class ScanReader {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private final int segments;
+
+    /** The request can't be taken for this reason. */
+    static final class MalformedException extends Exception {
+        private static final long serialVersionUID = 1L;
+
+        MalformedException(String message) {
+            super(message);
+        }
+    }
+
+    ScanReader(int segments) {
+        this.segments = segments;
+    }
+
+    Scan read(String tableType, MultiMap headers, byte[] body) throws MalformedException {
+        String id = headers.get("X-Request-Id");
+        if (id == null || !id.matches("[!-~]{1,128}")) {
+            throw new MalformedException("X-Request-Id must be 1 to 128 visible characters");
+        }
+        if (!tableType.equals(headers.get("X-Class"))) {
+            throw new MalformedException("X-Class and path must agree");
+        }
+        String deadline = headers.get("X-Deadline-Ms");
+        if (deadline == null || !deadline.matches("[0-9]{1,9}")) {
+            throw new MalformedException("X-Deadline-Ms must be whole milliseconds");
+        }
+        JsonNode node;
+        try {
+            node = MAPPER.readTree(new String(body, StandardCharsets.UTF_8));
+        } catch (JsonProcessingException e) {
+            throw new MalformedException("the body is not JSON");
+        }
+        JsonNode buckets = node.path("buckets");
+        if (!buckets.isArray() || buckets.isEmpty() || !node.path("body").isTextual()) {
+            throw new MalformedException("the body needs buckets and body");
+        }
+        var parts = new ArrayList<Scan.Part>(buckets.size());
+        Set<Integer> seen = new HashSet<>();
+        for (JsonNode bucket : buckets) {
+            int segment = bucket.path("bucket").isInt() ? bucket.get("bucket").intValue() : -1;
+            double weight = bucket.path("part").asDouble(-1);
+            if (segment < 0 || segment >= segments || !seen.add(segment)) {
+                throw new MalformedException("each bucket must be one of " + segments + " and stand once");
+            }
+            if (!(weight >= 0 && weight <= 1.001)) {
+                throw new MalformedException("each part must be a share of the whole");
+            }
+            parts.add(new Scan.Part(segment, weight));
+        }
+        return new Scan(id, tableType, headers.get("X-Tenant"), Double.parseDouble(deadline), parts,
+                node.get("body").textValue().getBytes(StandardCharsets.UTF_8));
+    }
+}
--- /dev/null
+++ b/src/main/java/sprucehold/discovery/ListNews.java
@@ -0,0 +1,77 @@
+package sprucehold.discovery;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.util.NetUtil;
+import java.util.ArrayList;
+import java.util.List;
+import sprucehold.picker.ServerNews;
+
+/**
+ * One answer of discovery.
+ *
+ * @param index the version of the list
+ * @param complete whether it is the whole list
+ */
+public record ListNews(long index, boolean complete, List<ServerNews> servers) {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    /** The answer doesn't tell what it has to. */
+    public static final class MalformedException extends Exception {
+        private static final long serialVersionUID = 1L;
+
+        MalformedException(String message) {
+            super(message);
+        }
+    }
+
+    /** {@code cells} is how many cells there are. */
+    public static ListNews decode(byte[] body, int cells) throws MalformedException {
+        try {
+            return decode(MAPPER.readTree(new String(body, java.nio.charset.StandardCharsets.UTF_8)), cells);
+        } catch (JsonProcessingException e) {
+            throw new MalformedException("not JSON: " + e.getOriginalMessage());
+        }
+    }
+
+    public static ListNews decode(JsonNode node, int cells) throws MalformedException {
+        if (!node.path("index").canConvertToLong() || !node.path("index").isIntegralNumber()
+                || !node.path("snapshot").isBoolean() || !node.path("endpoints").isArray()) {
+            throw new MalformedException("a list needs index, snapshot and endpoints");
+        }
+        var servers = new ArrayList<ServerNews>();
+        for (JsonNode endpoint : node.get("endpoints")) {
+            servers.add(server(endpoint, cells));
+        }
+        return new ListNews(node.get("index").longValue(), node.get("snapshot").booleanValue(), List.copyOf(servers));
+    }
+
+    private static ServerNews server(JsonNode endpoint, int cells) throws MalformedException {
+        String name = endpoint.path("name").asText();
+        if (name.isEmpty()) {
+            throw new MalformedException("an endpoint without a name");
+        }
+        ServerNews.State state = switch (endpoint.path("status").asText()) {
+            case "active" -> ServerNews.State.RUNNING;
+            case "leaving" -> ServerNews.State.DRAINING;
+            case "left" -> ServerNews.State.GONE;
+            default -> throw new MalformedException("an endpoint of unknown status");
+        };
+        int cell = endpoint.path("group").asInt(-1);
+        String address = endpoint.path("address").asText();
+        if (state != ServerNews.State.GONE && (cell < 0 || cell >= cells || !isAddress(address))) {
+            throw new MalformedException("an endpoint without a group or an address of numbers");
+        }
+        return new ServerNews(name, address, Math.max(0, Math.min(cells - 1, cell)), endpoint.path("zone").asText(),
+                endpoint.path("since_ms").doubleValue(), state);
+    }
+
+    /** Names are never looked up, so a host is its number. */
+    private static boolean isAddress(String address) {
+        int colon = address.lastIndexOf(':');
+        return colon > 0 && NetUtil.createByteArrayFromIpAddressString(address.substring(0, colon)) != null
+                && address.substring(colon + 1).matches("[0-9]{1,5}")
+                && Integer.parseInt(address.substring(colon + 1)) <= 65_535;
+    }
+}
--- a/src/main/java/sprucehold/drill/WireReader.java
+++ b/src/main/java/sprucehold/drill/WireReader.java
@@ -5,6 +5,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import sprucehold.facts.Facts;
+import sprucehold.facts.MalformedFactsException;
 import sprucehold.port.Customer;
 import sprucehold.port.Deployment;
 import sprucehold.port.Ending;
@@ -15,75 +17,22 @@
 
 /** Reads one instance's facts and events. Unknown fields are skipped, absent ones are zero or empty. */
 final class WireReader {
-    private final Deployment deployment;
+    private final Facts facts;
     private final Map<String, TableType> tableTypes = new HashMap<>();
     private final Map<String, Customer> customers = new HashMap<>();
-    private final List<String> loadFields = new ArrayList<>();
 
     WireReader(JsonNode params) throws MalformedBatchException {
-        JsonNode family = params.path("familyInfo");
-        var types = new ArrayList<TableType>();
-        for (JsonNode node : params.path("classes")) {
-            TableType type = tableType(node, family, types.size());
-            types.add(type);
-            tableTypes.put(type.name(), type);
+        try {
+            facts = Facts.read(params);
+        } catch (MalformedFactsException e) {
+            throw new MalformedBatchException(e.getMessage());
         }
-        for (JsonNode node : params.path("tenants")) {
-            var customer = new Customer(node.path("name").asText(), node.path("allowancePerS").doubleValue());
-            customers.put(customer.name(), customer);
-        }
-        JsonNode feedback = params.path("feedback");
-        if (!feedback.path("source").asText().equals("none")) {
-            feedback.path("fields").forEach(field -> loadFields.add(field.asText()));
-        }
-        JsonNode limits = params.path("limits");
-        JsonNode rules = params.path("safety");
-        deployment = new Deployment(
-                Math.max(1, params.path("balancers").asInt(1)),
-                params.path("locality").asText(),
-                params.path("quantumMs").doubleValue(),
-                params.path("overShareWorth").asDouble(1),
-                List.copyOf(types),
-                List.copyOf(customersInOrder(params)),
-                new Deployment.Layout(Math.max(1, family.path("sets").asInt(1)),
-                        Math.max(1, family.path("width").asInt(1)),
-                        Math.max(1, family.path("bundleMax").asInt(1))),
-                new Deployment.Limits(Math.max(1, limits.path("sendCap").asInt(1)),
-                        limits.path("maxOpen").asInt(Integer.MAX_VALUE),
-                        limits.path("secondCopies").booleanValue(), limits.path("cancel").booleanValue(),
-                        limits.path("retryAfter").booleanValue() ? limits.path("maxRetryAfterMs").doubleValue() : 0),
-                new Deployment.ColdRule(rules.path("coldFrom").asDouble(1), rules.path("coldMs").doubleValue(),
-                        rules.path("fallMultiple").asDouble(1), rules.path("overloadForMs").doubleValue()),
-                rules.has("countedOverMs")
-                        ? new Deployment.DispatchBudget(rules.path("budgetFree").doubleValue(),
-                                rules.path("extraRatio").doubleValue(), rules.path("countedOverMs").doubleValue())
-                        : Deployment.DispatchBudget.NONE,
-                new Deployment.ListAccess(params.path("discovery").asText().equals("subscribe"),
-                        rules.path("mustAskInMs").doubleValue()));
+        facts.deployment().tableTypes().forEach(type -> tableTypes.put(type.name(), type));
+        facts.deployment().customers().forEach(customer -> customers.put(customer.name(), customer));
     }
 
     Deployment deployment() {
-        return deployment;
-    }
-
-    private List<Customer> customersInOrder(JsonNode params) {
-        var all = new ArrayList<Customer>();
-        params.path("tenants").forEach(node -> all.add(customers.get(node.path("name").asText())));
-        return all;
-    }
-
-    private static TableType tableType(JsonNode node, JsonNode family, int index) throws MalformedBatchException {
-        TableType.Repeat repeat = switch (node.path("semantics").asText()) {
-            case "retryable" -> TableType.Repeat.REPLAYABLE;
-            case "dedup" -> TableType.Repeat.KEYED;
-            case "fragile" -> TableType.Repeat.NON_REPLAYABLE;
-            default -> throw new MalformedBatchException("unknown semantics " + node.path("semantics"));
-        };
-        return new TableType(node.path("name").asText(), repeat, node.path("aimMs").doubleValue(),
-                node.path("worth").asDouble(1), node.path("lateValue").doubleValue(),
-                node.path("windowMs").doubleValue(), family.path("completeFrom").path(index).asDouble(1),
-                family.path("leastShare").path(index).asDouble(1),
-                family.path("classFetch").path(index).intValue());
+        return facts.deployment();
     }
 
     /** Returns null for events that mean nothing to a gatherer of this kind. */
@@ -146,14 +95,14 @@
 
     private LoadReport load(JsonNode fields) {
         JsonNode stats = fields.path("stats");
-        if (loadFields.isEmpty() || !stats.isArray()) {
+        if (facts.loadFields().isEmpty() || !stats.isArray()) {
             return null;
         }
         return new LoadReport(stat(stats, "rif"), stat(stats, "q"), stat(stats, "busy"));
     }
 
     private double stat(JsonNode stats, String field) {
-        return stats.path(loadFields.indexOf(field)).asDouble(Double.NaN);
+        return stats.path(facts.loadFields().indexOf(field)).asDouble(Double.NaN);
     }
 
     private static Ending ending(JsonNode fields) throws MalformedBatchException {
--- /dev/null
+++ b/src/main/java/sprucehold/node/Node.java
@@ -0,0 +1,184 @@
+package sprucehold.node;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Queue;
+import java.util.Set;
+import java.util.function.Supplier;
+import java.util.logging.Logger;
+import java.util.stream.Collectors;
+import sprucehold.clients.ClientServer;
+import sprucehold.clients.Desk;
+import sprucehold.discovery.Watch;
+import sprucehold.picker.Orders;
+import sprucehold.picker.Picker;
+import sprucehold.picker.Report;
+import sprucehold.picker.Scan;
+import sprucehold.port.Gatherer;
+import sprucehold.port.TableType;
+import sprucehold.shards.ShardServers;
+
+/**
+ * One gatherer: it carries what happens outside to the picker, and what the picker orders to the network. All of
+ * it runs on the one event loop.
+ */
+final class Node implements Desk {
+    private static final Logger LOG = Logger.getLogger(Node.class.getName());
+
+    private final Vertx vertx;
+    private final Seat seat;
+    private final Clock clock = new Clock();
+    private final Picker picker;
+    private final ShardServers shards;
+    private final Watch watch;
+    private final ClientServer clients;
+    private final Set<String> tableTypes;
+    /** What was reported while orders were being carried out. */
+    private final Queue<Report> reports = new ArrayDeque<>();
+    private boolean carrying;
+    private boolean hasList;
+    private boolean ending;
+    private long timer = -1;
+    private double timerAt = Double.POSITIVE_INFINITY;
+    private long scansTaken;
+
+    Node(Vertx vertx, Seat seat, Gatherer.Factory factory) {
+        this.vertx = vertx;
+        this.seat = seat;
+        var deployment = seat.facts().deployment();
+        this.tableTypes = deployment.tableTypes().stream().map(TableType::name).collect(Collectors.toSet());
+        this.picker = new Picker(factory.start(seat.seed(), deployment), deployment);
+        this.shards = new ShardServers(vertx, seat.facts().connections(), deployment.layout().callParts(),
+                seat.facts().loadByProbe(), clock::now, this::report);
+        this.watch = new Watch(vertx, seat.discovery().host(), seat.discovery().port(), deployment.layout().cells(),
+                deployment.listAccess().askWithinMs(), clock::now, this::report);
+        this.clients = new ClientServer(vertx, seat.facts().segments(), this);
+    }
+
+    Future<Void> start() {
+        LOG.info(seat.summary());
+        if (seat.known() != null) {
+            report(new Report.ListCame(true, seat.known().servers()));
+        }
+        watch.start(seat.known() == null ? -1 : seat.known().index());
+        return clients.listen(seat.listen().host(), seat.listen().port()).map(server -> {
+            LOG.info("listening at " + seat.listen());
+            return null;
+        });
+    }
+
+    @Override
+    public boolean ready() {
+        return hasList && !ending;
+    }
+
+    @Override
+    public boolean isTableType(String name) {
+        return tableTypes.contains(name);
+    }
+
+    @Override
+    public boolean isOpen(Scan scan) {
+        return picker.isOpen(scan);
+    }
+
+    @Override
+    public void take(Scan scan) {
+        scansTaken++;
+        run(() -> picker.pick(clock.now(), scan));
+    }
+
+    @Override
+    public void left(Scan scan) {
+        report(new Report.ClientLeft(scan));
+    }
+
+    private void report(Report report) {
+        if (report instanceof Report.ListCame && !hasList) {
+            hasList = true;
+            LOG.info("ready: a list of shard servers is held");
+        }
+        reports.add(report);
+        if (!carrying) {
+            run(this::reported);
+        }
+    }
+
+    private Orders reported() {
+        var batch = new ArrayList<Report>(reports);
+        reports.clear();
+        return picker.report(clock.now(), batch);
+    }
+
+    private void run(Supplier<Orders> call) {
+        carrying = true;
+        try {
+            Orders orders = call.get();
+            carryOut(orders);
+            while (!reports.isEmpty()) {
+                orders = reported();
+                carryOut(orders);
+            }
+            arm(orders.nextTickAtMs());
+        } finally {
+            carrying = false;
+        }
+    }
+
+    private void carryOut(Orders orders) {
+        shards.callOff(orders.callOff());
+        shards.send(orders.send());
+        orders.replies().forEach(reply -> clients.answer(reply.scan(), reply.answer()));
+        shards.probe(orders.probe());
+        orders.notes().forEach(LOG::info);
+        if (orders.askList()) {
+            watch.ask();
+        }
+    }
+
+    private void arm(double at) {
+        if (at == timerAt) {
+            return;
+        }
+        vertx.cancelTimer(timer);
+        timerAt = at;
+        if (at < Double.POSITIVE_INFINITY) {
+            timer = vertx.setTimer(Math.max(1, (long) Math.ceil(at - clock.now())), fired -> {
+                timerAt = Double.POSITIVE_INFINITY;
+                run(() -> picker.tick(clock.now()));
+            });
+        }
+    }
+
+    /**
+     * Ends the gatherer once all it has taken is answered. Clients still come for a while, so it listens on for
+     * {@code lingerMs} and asks those it answers to go elsewhere.
+     */
+    Future<Void> end(long lingerMs) {
+        LOG.info("draining: " + picker.openScans() + " scans open, " + clients.connections() + " client connections");
+        ending = true;
+        clients.drain();
+        return vertx.timer(lingerMs).compose(lingered -> {
+            clients.closeIdle();
+            return answered();
+        }).compose(done -> clients.close()).map(closed -> {
+            watch.stop();
+            LOG.info("end: " + scansTaken + " scans taken, " + picker.openScans() + " left open");
+            return null;
+        });
+    }
+
+    private Future<Void> answered() {
+        if (picker.openScans() == 0 && clients.underWay() == 0) {
+            return Future.succeededFuture();
+        }
+        // No more than a scan's share of time is lost by looking again so soon.
+        return vertx.timer(10).compose(waited -> {
+            clients.closeIdle();
+            return answered();
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/sprucehold/node/Seat.java
@@ -0,0 +1,84 @@
+package sprucehold.node;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import sprucehold.discovery.ListNews;
+import sprucehold.facts.Facts;
+import sprucehold.facts.MalformedFactsException;
+
+/**
+ * What one gatherer is told at its start.
+ *
+ * @param known the list as it was last held
+ */
+public record Seat(String name, Address listen, Address discovery, long seed, ListNews known, Facts facts) {
+
+    /** Where to listen or call. */
+    public record Address(String host, int port) {
+        static Address parse(String text, String what) throws MalformedFactsException {
+            int colon = text.lastIndexOf(':');
+            if (colon <= 0 || !text.substring(colon + 1).matches("[0-9]{1,5}")
+                    || Integer.parseInt(text.substring(colon + 1)) > 65_535) {
+                throw new MalformedFactsException(what + " needs HOST:PORT");
+            }
+            return new Address(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+        }
+
+        @Override
+        public String toString() {
+            return host + ":" + port;
+        }
+    }
+
+    /** Reads the file; what the environment names wins over it. Null or empty values are not given. */
+    public static Seat read(Path file, String name, String listen, String discovery) throws IOException {
+        JsonNode node;
+        try {
+            node = new ObjectMapper().readTree(Files.readAllBytes(file));
+        } catch (JsonProcessingException e) {
+            throw new MalformedFactsException("not JSON: " + e.getOriginalMessage());
+        }
+        if (!node.path("settings").isObject()) {
+            throw new MalformedFactsException("no settings");
+        }
+        Facts facts = Facts.read(node.get("settings"));
+        if (facts.deployment().tableTypes().stream().anyMatch(type -> type.secondStepParts() > 0)) {
+            throw new MalformedFactsException("table types of two steps can't be served by this protocol");
+        }
+        long seed;
+        try {
+            seed = Long.parseUnsignedLong(node.path("seed").asText("0"), 16);
+        } catch (NumberFormatException e) {
+            throw new MalformedFactsException("seed must be hex digits");
+        }
+        ListNews known;
+        try {
+            known = node.path("known").isObject()
+                    ? ListNews.decode(node.get("known"), facts.deployment().layout().cells()) : null;
+        } catch (ListNews.MalformedException e) {
+            throw new MalformedFactsException("known: " + e.getMessage());
+        }
+        return new Seat(either(name, node.path("name")),
+                Address.parse(either(listen, node.path("listen")), "listen"),
+                Address.parse(either(discovery, node.path("discovery")), "discovery"), seed, known, facts);
+    }
+
+    private static String either(String given, JsonNode inFile) {
+        return given == null || given.isEmpty() ? inFile.asText() : given;
+    }
+
+    /** The facts that matter to an operator, in a line. */
+    public String summary() {
+        var deployment = facts.deployment();
+        return "gatherer " + name + " in " + deployment.zone() + ", one of " + deployment.gatherers() + "; listens at "
+                + listen + ", discovery at " + discovery + "; " + facts.segments() + " segments in "
+                + deployment.layout().cells() + " cells, " + deployment.tableTypes().size() + " table types, "
+                + deployment.customers().size() + " customers; "
+                + (known == null ? "no list known" : known.servers().size() + " shard servers known at index "
+                + known.index());
+    }
+}
--- /dev/null
+++ b/src/main/java/sprucehold/picker/Load.java
@@ -0,0 +1,5 @@
+package sprucehold.picker;
+
+/** What a shard server says of its load; a value that it doesn't tell is NaN. */
+public record Load(double held, double queued, double busy) {
+}
--- /dev/null
+++ b/src/main/java/sprucehold/picker/Orders.java
@@ -0,0 +1,19 @@
+package sprucehold.picker;
+
+import java.util.List;
+
+/**
+ * What is to be done now. Dispatches called off were ordered earlier; none of those to send is among them, and
+ * none belongs to a scan that has been answered.
+ *
+ * @param askList whether to ask for the list now
+ * @param notes lines for the operators' log
+ * @param nextTickAtMs when to tick next, infinite if there is no need
+ */
+public record Orders(List<Dispatch> callOff, List<Dispatch> send, List<Reply> replies, List<ShardServer> probe,
+        boolean askList, List<String> notes, double nextTickAtMs) {
+
+    /** The final answer of a scan. */
+    public record Reply(Scan scan, Answer answer) {
+    }
+}
--- /dev/null
+++ b/src/main/java/sprucehold/picker/Picker.java
@@ -0,0 +1,344 @@
+package sprucehold.picker;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Queue;
+import java.util.function.Function;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import java.util.stream.Collectors;
+import sprucehold.port.Action;
+import sprucehold.port.Customer;
+import sprucehold.port.Deployment;
+import sprucehold.port.Ending;
+import sprucehold.port.Event;
+import sprucehold.port.Gatherer;
+import sprucehold.port.Listing;
+import sprucehold.port.LoadReport;
+import sprucehold.port.TableType;
+
+/**
+ * The decisions in blocking style: plain calls that return at once with what to do. It keeps the books between
+ * the ids that the decisions name and the objects that the network code holds. Not safe for threads.
+ */
+public final class Picker {
+    private static final Logger LOG = Logger.getLogger(Picker.class.getName());
+
+    private final Gatherer gatherer;
+    private final int maxOpen;
+    private final double tickMs;
+    private final Map<String, TableType> tableTypes;
+    private final Map<String, Customer> customers;
+    private final Map<String, OpenScan> scans = new HashMap<>();
+    /** Parts of open scans, and of others while a dispatch is out. */
+    private final Map<String, OpenPart> parts = new HashMap<>();
+    private final Map<String, ShardServer> servers = new HashMap<>();
+    private final PriorityQueue<OpenScan> ends = new PriorityQueue<>(Comparator.comparingDouble(scan -> scan.endsAt));
+    private final PriorityQueue<Dispatch> patience =
+            new PriorityQueue<>(Comparator.comparingDouble(dispatch -> dispatch.patienceEndsAt));
+    private final Queue<Event> events = new ArrayDeque<>();
+    private long scansTaken;
+    private int openParts;
+    private double wakeAt = Double.POSITIVE_INFINITY;
+
+    private double now;
+    private List<Dispatch> callOff = new ArrayList<>();
+    private List<Dispatch> send = new ArrayList<>();
+    private List<Orders.Reply> replies = new ArrayList<>();
+    private List<ShardServer> probe = new ArrayList<>();
+    private List<String> notes = new ArrayList<>();
+    private boolean askList;
+
+    public Picker(Gatherer gatherer, Deployment deployment) {
+        this.gatherer = gatherer;
+        this.maxOpen = deployment.limits().maxOpen();
+        this.tickMs = Math.max(1, deployment.tickMs());
+        this.tableTypes = deployment.tableTypes().stream()
+                .collect(Collectors.toMap(TableType::name, Function.identity()));
+        this.customers = deployment.customers().stream()
+                .collect(Collectors.toMap(Customer::name, Function.identity()));
+    }
+
+    /** Whether a scan of this id is still open, or something of it is still out. */
+    public boolean isOpen(Scan scan) {
+        return scans.containsKey(scan.id())
+                || scan.parts().stream().anyMatch(part -> parts.containsKey(scan.id() + "." + part.segment()));
+    }
+
+    public int openScans() {
+        return scans.size();
+    }
+
+    /** Takes a scan of a known table type whose id isn't open. It gets exactly one reply, now or later. */
+    public Orders pick(double nowMs, Scan scan) {
+        now = nowMs;
+        if (scans.size() + openParts >= maxOpen) {
+            replies.add(new Orders.Reply(scan, new Answer.Throttled(0)));
+            return orders();
+        }
+        var open = new OpenScan(scan, now);
+        scans.put(scan.id(), open);
+        ends.add(open);
+        openParts += open.parts.size();
+        long number = ++scansTaken;
+        events.add(new Event.ScanTaken(scan.id(), number, tableTypes.get(scan.tableType()),
+                customers.get(scan.customer()), scan.timeLeftMs()));
+        for (int i = 0; i < open.parts.size(); i++) {
+            OpenPart part = open.parts.get(i);
+            parts.put(part.id, part);
+            events.add(new Event.PartTaken(part.id, number, part.segment, scan.parts().get(i).weight()));
+        }
+        decide(List.of(open));
+        return orders();
+    }
+
+    /** Takes what happened at this moment. */
+    public Orders report(double nowMs, List<Report> reports) {
+        now = nowMs;
+        var concerned = new ArrayList<OpenScan>();
+        for (Report report : reports) {
+            if (report instanceof Report.DispatchEnded ended) {
+                dispatchEnded(ended.dispatch(), ended.outcome());
+                concerned.add(ended.dispatch().part.scan);
+            } else if (report instanceof Report.ClientLeft left) {
+                OpenScan open = scans.get(left.scan().id());
+                if (open != null && open.scan == left.scan()) {
+                    close(open);
+                    events.add(new Event.ClientLeft(open.scan.id()));
+                }
+            } else if (report instanceof Report.ListCame list) {
+                events.add(listReceived(list));
+            } else if (report instanceof Report.ListFailed) {
+                events.add(new Event.ListUnavailable());
+            } else if (report instanceof Report.ProbeEnded ended) {
+                events.add(new Event.ProbeEnded(ended.server().name(), ending(ended.outcome(), false),
+                        ended.tookMs(), load(ended.outcome())));
+            }
+        }
+        decide(concerned);
+        return orders();
+    }
+
+    /** Lets time pass; to be called at the time that the last orders named, or soon after. */
+    public Orders tick(double nowMs) {
+        now = nowMs;
+        events.add(new Event.Woken());
+        decide(List.of());
+        while (!patience.isEmpty() && (!patience.peek().out || patience.peek().patienceEndsAt <= now)) {
+            Dispatch dispatch = patience.poll();
+            if (dispatch.out && !dispatch.patienceOver) {
+                dispatch.patienceOver = true;
+                callOff(dispatch);
+            }
+        }
+        // The decisions end each scan before its time is up; only after a panic one may be left over.
+        while (!ends.isEmpty() && (ends.peek().over || ends.peek().endsAt <= now)) {
+            OpenScan open = ends.poll();
+            if (!open.over) {
+                LOG.warning("a scan had no answer in time and was abandoned");
+                abandon(open);
+            }
+        }
+        if (!events.isEmpty()) {
+            decide(List.of());
+        }
+        return orders();
+    }
+
+    private Orders orders() {
+        while (!ends.isEmpty() && ends.peek().over) {
+            ends.poll();
+        }
+        while (!patience.isEmpty() && !patience.peek().out) {
+            patience.poll();
+        }
+        double next = Math.min(wakeAt, ends.isEmpty() ? Double.POSITIVE_INFINITY : ends.peek().endsAt);
+        next = Math.min(next, patience.isEmpty() ? Double.POSITIVE_INFINITY : patience.peek().patienceEndsAt);
+        var orders = new Orders(callOff, send, replies, probe, askList, notes, next);
+        callOff = new ArrayList<>();
+        send = new ArrayList<>();
+        replies = new ArrayList<>();
+        probe = new ArrayList<>();
+        notes = new ArrayList<>();
+        askList = false;
+        return orders;
+    }
+
+    /** Hands what happened to the decisions and takes what they want, until nothing more has happened. */
+    private void decide(List<OpenScan> concerned) {
+        do {
+            List<Event> batch = List.copyOf(events);
+            events.clear();
+            if (wakeAt <= now) {
+                wakeAt = Double.POSITIVE_INFINITY;
+            }
+            try {
+                gatherer.decide(now, batch).forEach(this::act);
+            } catch (RuntimeException | StackOverflowError e) {
+                LOG.log(Level.SEVERE, "panic: the decisions failed and the scans concerned are abandoned", e);
+                concerned.stream().filter(open -> !open.over).forEach(this::abandon);
+                // They may have lost the time at which they wanted to be woken.
+                wakeAt = Math.min(wakeAt, now + tickMs);
+                events.removeIf(event -> !(event instanceof Event.ClientLeft));
+                concerned = List.of();
+                if (batch.stream().allMatch(Event.ClientLeft.class::isInstance)) {
+                    return;
+                }
+            }
+        } while (!events.isEmpty());
+    }
+
+    private void act(Action action) {
+        if (action instanceof Action.Dispatch wanted) {
+            send(wanted);
+        } else if (action instanceof Action.Cancel cancel) {
+            OpenPart part = parts.get(cancel.partId());
+            if (part != null && cancel.number() < part.dispatches.size()) {
+                callOff(part.dispatches.get(cancel.number()));
+            } else {
+                events.add(new Event.DispatchEnded(cancel.partId(), cancel.number(), Ending.NEVER_SENT, 0, null));
+            }
+        } else if (action instanceof Action.Answer answer) {
+            OpenScan open = scans.get(answer.scanId());
+            if (open != null) {
+                List<Answer.Value> values = open.parts.stream().filter(part -> part.value != null)
+                        .map(part -> new Answer.Value(part.segment, part.value)).toList();
+                reply(open, new Answer.Completed(answer.whole(), values));
+            }
+        } else if (action instanceof Action.Throttle throttle) {
+            reply(scans.get(throttle.scanId()), new Answer.Throttled(throttle.comeBackMs()));
+        } else if (action instanceof Action.Abandon abandon) {
+            reply(scans.get(abandon.scanId()), new Answer.Abandoned());
+        } else if (action instanceof Action.Wake wake) {
+            wakeAt = Math.min(wakeAt, now + wake.delayMs());
+        } else if (action instanceof Action.Probe wanted) {
+            probe.add(servers.get(wanted.server()));
+        } else if (action instanceof Action.FollowList) {
+            askList = true;
+        } else if (action instanceof Action.Note note) {
+            notes.add(note.line());
+        }
+    }
+
+    private void send(Action.Dispatch wanted) {
+        OpenPart part = parts.get(wanted.partId());
+        if (part == null) {
+            return;
+        }
+        var dispatch = new Dispatch(part, servers.get(wanted.server()), now, wanted.timeoutMs());
+        part.dispatches.add(dispatch);
+        if (part.scan.over || wanted.timeoutMs() <= 0) {
+            ended(dispatch, Ending.NEVER_SENT, null);
+        } else {
+            patience.add(dispatch);
+            send.add(dispatch);
+        }
+    }
+
+    private void callOff(Dispatch dispatch) {
+        if (!dispatch.out) {
+            return;
+        }
+        if (send.remove(dispatch)) {
+            ended(dispatch, Ending.NEVER_SENT, null);
+        } else if (!callOff.contains(dispatch)) {
+            callOff.add(dispatch);
+        }
+    }
+
+    private void dispatchEnded(Dispatch dispatch, Outcome outcome) {
+        if (!dispatch.out) {
+            return;
+        }
+        if (outcome instanceof Outcome.Completed completed && !dispatch.part.scan.over
+                && dispatch.part.value == null) {
+            dispatch.part.value = completed.value();
+        }
+        ended(dispatch, ending(outcome, dispatch.patienceOver), load(outcome));
+    }
+
+    private void ended(Dispatch dispatch, Ending ending, LoadReport load) {
+        dispatch.out = false;
+        events.add(new Event.DispatchEnded(dispatch.part.id, dispatch.number, ending, now - dispatch.sentAt, load));
+        forget(dispatch.part);
+    }
+
+    /** What an outcome says of whether the part ran; the rule on effects rests on it. */
+    static Ending ending(Outcome outcome, boolean patienceOver) {
+        if (outcome instanceof Outcome.Completed) {
+            return Ending.COMPLETED;
+        } else if (outcome instanceof Outcome.Faulty) {
+            return Ending.ERROR;
+        } else if (outcome instanceof Outcome.TurnedAway) {
+            return Ending.FULL;
+        } else if (outcome instanceof Outcome.Lost lost) {
+            return lost.progress() == Progress.WRITTEN ? Ending.RESET : Ending.UNCONNECTED;
+        } else if (((Outcome.CalledOff) outcome).progress() != Progress.WRITTEN) {
+            return Ending.NEVER_SENT;
+        }
+        return patienceOver ? Ending.TIMED_OUT : Ending.CANCELLED;
+    }
+
+    private static LoadReport load(Outcome outcome) {
+        Load load = outcome instanceof Outcome.Completed completed ? completed.load()
+                : outcome instanceof Outcome.Faulty faulty ? faulty.load()
+                : outcome instanceof Outcome.TurnedAway away ? away.load() : null;
+        return load == null ? null : new LoadReport(load.held(), load.queued(), load.busy());
+    }
+
+    private void reply(OpenScan open, Answer answer) {
+        if (open != null) {
+            replies.add(new Orders.Reply(open.scan, answer));
+            close(open);
+        }
+    }
+
+    /** Ends a scan that the decisions failed on. */
+    private void abandon(OpenScan open) {
+        reply(open, new Answer.Abandoned());
+        open.parts.forEach(part -> List.copyOf(part.dispatches).forEach(this::callOff));
+        events.add(new Event.ClientLeft(open.scan.id()));
+    }
+
+    private void close(OpenScan open) {
+        open.over = true;
+        scans.remove(open.scan.id());
+        openParts -= open.parts.size();
+        open.parts.forEach(part -> part.value = null);
+        open.parts.forEach(this::forget);
+        for (Dispatch dispatch : List.copyOf(send)) {
+            if (dispatch.part.scan == open) {
+                callOff(dispatch);
+            }
+        }
+    }
+
+    private void forget(OpenPart part) {
+        if (part.scan.over && !part.isOut()) {
+            parts.remove(part.id, part);
+        }
+    }
+
+    private Event.ListReceived listReceived(Report.ListCame list) {
+        if (list.complete()) {
+            servers.values().forEach(ShardServer::gone);
+        }
+        var listings = new ArrayList<Listing>();
+        for (ServerNews news : list.servers()) {
+            servers.computeIfAbsent(news.name(), ShardServer::new)
+                    .update(news.address(), news.state() == ServerNews.State.RUNNING);
+            Listing.Mode mode = switch (news.state()) {
+                case RUNNING -> Listing.Mode.RUNNING;
+                case DRAINING -> Listing.Mode.DRAINING;
+                case GONE -> Listing.Mode.GONE;
+            };
+            listings.add(new Listing(news.name(), news.cell(), news.zone(), news.startedAtMs(), mode));
+        }
+        return new Event.ListReceived(list.complete(), List.copyOf(listings));
+    }
+}
--- /dev/null
+++ b/src/main/java/sprucehold/shards/GathererFrame.java
@@ -0,0 +1,41 @@
+package sprucehold.shards;
+
+import io.vertx.core.buffer.Buffer;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import sprucehold.picker.Dispatch;
+
+/** The frames that a gatherer sends. */
+final class GathererFrame {
+    private GathererFrame() {
+    }
+
+    /** One call: parts of one scan. */
+    static Buffer call(List<Dispatch> dispatches) {
+        Buffer rest = Buffer.buffer();
+        for (Dispatch dispatch : dispatches) {
+            byte[] text = dispatch.scan().text();
+            long patience = Math.max(1, (long) dispatch.patienceMs());
+            rest.appendString(dispatch.partId() + " " + dispatch.segment() + " d=" + patience + " " + text.length + "\n")
+                    .appendBytes(text);
+        }
+        return frame('A', rest);
+    }
+
+    static Buffer giveUp(String partId) {
+        return frame('B', Buffer.buffer(partId.getBytes(StandardCharsets.UTF_8)));
+    }
+
+    static Buffer probe() {
+        return frame('C', Buffer.buffer());
+    }
+
+    static Buffer loadProbe() {
+        return frame('D', Buffer.buffer());
+    }
+
+    private static Buffer frame(char letter, Buffer rest) {
+        return Buffer.buffer(5 + rest.length()).appendIntLE(1 + rest.length()).appendByte((byte) letter)
+                .appendBuffer(rest);
+    }
+}
--- /dev/null
+++ b/src/main/java/sprucehold/shards/ShardLink.java
@@ -0,0 +1,232 @@
+package sprucehold.shards;
+
+import io.vertx.core.Future;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetSocket;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Queue;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import sprucehold.picker.Dispatch;
+import sprucehold.picker.Outcome;
+import sprucehold.picker.Progress;
+
+/** One connection to a shard server, from the dial to its end, and all parts that are out on it. */
+final class ShardLink {
+    private static final Logger LOG = Logger.getLogger(ShardLink.class.getName());
+
+    /** What a link tells its owner. */
+    interface Owner {
+        double now();
+
+        void ended(Dispatch dispatch, Outcome outcome);
+
+        void probeEnded(ShardLink link, Outcome outcome, double tookMs);
+
+        void up(ShardLink link);
+
+        /** The link is over; {@code neverUp} if the dial failed. */
+        void closed(ShardLink link, boolean neverUp, String why);
+    }
+
+    private record Flight(Dispatch dispatch, double writtenAt) {
+    }
+
+    private final Owner owner;
+    private final String address;
+    private final int mostParts;
+    /** Calls that wait for the connection to come up, each with parts of one scan. */
+    private final Queue<List<Dispatch>> waiting = new ArrayDeque<>();
+    private final Map<String, Flight> flights = new LinkedHashMap<>();
+    /** Parts called off whose answers may still come, and until when they may. */
+    private final Map<String, Double> calledOff = new HashMap<>();
+    private final Queue<Double> probes = new ArrayDeque<>();
+    private int waitingParts;
+    private NetSocket socket;
+    private double heardAt;
+    private double idleSince;
+    private boolean doubtful;
+    private boolean over;
+
+    ShardLink(Owner owner, String address, int mostParts) {
+        this.owner = owner;
+        this.address = address;
+        this.mostParts = mostParts;
+    }
+
+    void dialled(Future<NetSocket> dial) {
+        dial.onComplete(this::opened, failure -> close(true, failure.getMessage()));
+    }
+
+    String address() {
+        return address;
+    }
+
+    private void opened(NetSocket opened) {
+        if (over) {
+            opened.close();
+            return;
+        }
+        socket = opened;
+        heardAt = owner.now();
+        idleSince = heardAt;
+        socket.exceptionHandler(failure -> LOG.log(Level.FINE, "connection to " + address, failure));
+        socket.closeHandler(none -> close(false, "closed by the other side"));
+        socket.handler(new FrameReader(this::received, why -> {
+            LOG.warning("shard server at " + address + " sent what can't be read: " + why);
+            close(false, why);
+        }));
+        owner.up(this);
+        List<List<Dispatch>> calls = new ArrayList<>(waiting);
+        waiting.clear();
+        waitingParts = 0;
+        calls.forEach(this::write);
+    }
+
+    /** Whether a call of so many parts can go out on it, now or when it is up. */
+    boolean fits(List<Dispatch> call) {
+        boolean blocked = socket != null && (doubtful || socket.writeQueueFull());
+        return !over && !blocked && flights.size() + waitingParts + call.size() <= mostParts
+                && call.stream().noneMatch(dispatch -> flights.containsKey(dispatch.partId())
+                        || calledOff.containsKey(dispatch.partId()));
+    }
+
+    void send(List<Dispatch> call) {
+        if (socket == null) {
+            waiting.add(new ArrayList<>(call));
+            waitingParts += call.size();
+        } else {
+            write(call);
+        }
+    }
+
+    private void write(List<Dispatch> waited) {
+        // The list may have said that it drains while the call waited for the connection.
+        var call = new ArrayList<Dispatch>();
+        for (Dispatch dispatch : waited) {
+            if (dispatch.server().running()) {
+                call.add(dispatch);
+            } else {
+                owner.ended(dispatch, new Outcome.Lost(Progress.NOT_WRITTEN));
+            }
+        }
+        if (call.isEmpty()) {
+            return;
+        }
+        double now = owner.now();
+        call.forEach(dispatch -> flights.put(dispatch.partId(), new Flight(dispatch, now)));
+        socket.write(GathererFrame.call(call)).onFailure(failure -> {
+            // The last byte was never handed over, so none of the call has run.
+            for (Dispatch dispatch : call) {
+                Flight flight = flights.get(dispatch.partId());
+                if (flight != null && flight.dispatch == dispatch) {
+                    flights.remove(dispatch.partId());
+                    owner.ended(dispatch, new Outcome.Lost(Progress.PARTLY_WRITTEN));
+                }
+            }
+        });
+    }
+
+    /** Gives a part up; false if it isn't on this link. */
+    boolean callOff(Dispatch dispatch) {
+        for (List<Dispatch> call : waiting) {
+            if (call.remove(dispatch)) {
+                waitingParts--;
+                owner.ended(dispatch, new Outcome.CalledOff(Progress.NOT_WRITTEN));
+                return true;
+            }
+        }
+        Flight flight = flights.get(dispatch.partId());
+        if (flight == null || flight.dispatch != dispatch) {
+            return false;
+        }
+        flights.remove(dispatch.partId());
+        calledOff.put(dispatch.partId(), flight.writtenAt + dispatch.patienceMs());
+        socket.write(GathererFrame.giveUp(dispatch.partId()));
+        idle();
+        owner.ended(dispatch, new Outcome.CalledOff(Progress.WRITTEN));
+        return true;
+    }
+
+    void probe(boolean load) {
+        if (socket == null) {
+            owner.probeEnded(this, new Outcome.Lost(Progress.NOT_WRITTEN), 0);
+            return;
+        }
+        probes.add(owner.now());
+        socket.write(load ? GathererFrame.loadProbe() : GathererFrame.probe());
+    }
+
+    private void received(ShardFrame frame) {
+        heardAt = owner.now();
+        doubtful = false;
+        if (frame instanceof ShardFrame.Ended ended) {
+            calledOff.remove(ended.partId());
+            Flight flight = flights.remove(ended.partId());
+            idle();
+            if (flight != null) {
+                owner.ended(flight.dispatch, switch (ended.end()) {
+                    case HIT -> new Outcome.Completed(ended.value(), ended.load());
+                    case FAULT -> new Outcome.Faulty(ended.load());
+                    case OVERLOAD -> new Outcome.TurnedAway(ended.load());
+                });
+            }
+        } else if (frame instanceof ShardFrame.Probed probed && !probes.isEmpty()) {
+            double took = owner.now() - probes.poll();
+            owner.probeEnded(this, probed.sound() ? new Outcome.Completed(new byte[0], probed.load())
+                    : new Outcome.Faulty(probed.load()), took);
+        } else if (frame instanceof ShardFrame.Unusable unusable) {
+            LOG.warning("shard server at " + address + " could not use a frame: " + unusable.words());
+            close(false, "a frame could not be used");
+        }
+    }
+
+    private void idle() {
+        if (flights.isEmpty()) {
+            idleSince = owner.now();
+        }
+    }
+
+    /**
+     * Looks after the link from time to time. One on which a part was written and nothing heard for as long as a
+     * dial may take is doubtful: its machine may have vanished, and a new dial tells.
+     */
+    void sweep(double silenceMs, double idleMs) {
+        double now = owner.now();
+        calledOff.values().removeIf(until -> until <= now);
+        if (socket == null) {
+            return;
+        }
+        boolean unheard = flights.values().stream()
+                .anyMatch(flight -> flight.writtenAt > heardAt && now - flight.writtenAt > silenceMs);
+        doubtful |= unheard;
+        boolean idle = flights.isEmpty() && probes.isEmpty();
+        if (idle && (doubtful || now - idleSince > idleMs)) {
+            close(false, null);
+        }
+    }
+
+    /** Ends the link: {@code why} is null where that was our own wish. */
+    void close(boolean neverUp, String why) {
+        if (over) {
+            return;
+        }
+        over = true;
+        if (socket != null) {
+            socket.close();
+        }
+        owner.closed(this, neverUp, why);
+        List<Dispatch> unwritten = waiting.stream().flatMap(List::stream).toList();
+        waiting.clear();
+        List<Flight> written = List.copyOf(flights.values());
+        flights.clear();
+        unwritten.forEach(dispatch -> owner.ended(dispatch, new Outcome.Lost(Progress.NOT_WRITTEN)));
+        written.forEach(flight -> owner.ended(flight.dispatch, new Outcome.Lost(Progress.WRITTEN)));
+        probes.forEach(at -> owner.probeEnded(this, new Outcome.Lost(Progress.WRITTEN), owner.now() - at));
+    }
+}
--- /dev/null
+++ b/src/main/java/sprucehold/shards/ShardServers.java
@@ -0,0 +1,158 @@
+package sprucehold.shards;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetClientOptions;
+import io.vertx.core.net.NetSocket;
+import io.vertx.core.net.SocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.DoubleSupplier;
+import java.util.logging.Logger;
+import sprucehold.facts.Connections;
+import sprucehold.picker.Dispatch;
+import sprucehold.picker.Outcome;
+import sprucehold.picker.Progress;
+import sprucehold.picker.Report;
+import sprucehold.picker.ShardServer;
+
+/** The connections to all shard servers: one each, a further one only when that can take no more. */
+public final class ShardServers {
+    private static final Logger LOG = Logger.getLogger(ShardServers.class.getName());
+
+    private final NetClient client;
+    private final Connections limits;
+    private final int callParts;
+    private final boolean loadByProbe;
+    private final DoubleSupplier clock;
+    private final Consumer<Report> reports;
+    private final Map<ShardServer, Peer> peers = new HashMap<>();
+
+    private final class Peer implements ShardLink.Owner {
+        final ShardServer server;
+        final List<ShardLink> links = new ArrayList<>();
+        boolean unreachable;
+
+        Peer(ShardServer server) {
+            this.server = server;
+        }
+
+        @Override
+        public double now() {
+            return clock.getAsDouble();
+        }
+
+        @Override
+        public void ended(Dispatch dispatch, Outcome outcome) {
+            reports.accept(new Report.DispatchEnded(dispatch, outcome));
+        }
+
+        @Override
+        public void probeEnded(ShardLink link, Outcome outcome, double tookMs) {
+            reports.accept(new Report.ProbeEnded(server, outcome, tookMs));
+        }
+
+        @Override
+        public void up(ShardLink link) {
+            if (unreachable) {
+                unreachable = false;
+                LOG.info("shard server " + server + " is reached again");
+            }
+        }
+
+        @Override
+        public void closed(ShardLink link, boolean neverUp, String why) {
+            links.remove(link);
+            if (neverUp && !unreachable) {
+                unreachable = true;
+                LOG.warning("shard server " + server + " can't be reached: " + why);
+            }
+        }
+
+        /** A link that can take the call: an open one or a new one. */
+        ShardLink link(List<Dispatch> call) {
+            for (ShardLink link : links) {
+                if (link.address().equals(server.address()) && link.fits(call)) {
+                    return link;
+                }
+            }
+            var link = new ShardLink(this, server.address(), limits.parts());
+            links.add(link);
+            link.dialled(dial(server.address()));
+            return link;
+        }
+    }
+
+    public ShardServers(Vertx vertx, Connections limits, int callParts, boolean loadByProbe, DoubleSupplier clock,
+            Consumer<Report> reports) {
+        this.limits = limits;
+        this.callParts = callParts;
+        this.loadByProbe = loadByProbe;
+        this.clock = clock;
+        this.reports = reports;
+        int dialMs = Math.max(1, (int) limits.dialTimeoutMs());
+        this.client = vertx.createNetClient(new NetClientOptions().setConnectTimeout(dialMs).setTcpNoDelay(true));
+        vertx.setPeriodic(dialMs, timer -> sweep(dialMs));
+    }
+
+    private Future<NetSocket> dial(String address) {
+        int colon = address.lastIndexOf(':');
+        return client.connect(SocketAddress.inetSocketAddress(
+                Integer.parseInt(address.substring(colon + 1)), address.substring(0, colon)));
+    }
+
+    /** Links are closed well before the other side may: two dials' time is left for the way and the sweep. */
+    private void sweep(double dialMs) {
+        for (Peer peer : peers.values()) {
+            List.copyOf(peer.links).forEach(link -> link.sweep(dialMs, limits.idleCloseMs() - 2 * dialMs));
+        }
+    }
+
+    /** Sends dispatches ordered at one moment; those of one scan to one server share calls. */
+    public void send(List<Dispatch> dispatches) {
+        record Call(ShardServer server, Object scan) {
+        }
+        var calls = new LinkedHashMap<Call, List<Dispatch>>();
+        for (Dispatch dispatch : dispatches) {
+            calls.computeIfAbsent(new Call(dispatch.server(), dispatch.scan()), key -> new ArrayList<>()).add(dispatch);
+        }
+        calls.forEach((key, parts) -> {
+            int most = Math.min(callParts, limits.parts());
+            for (int from = 0; from < parts.size(); from += most) {
+                List<Dispatch> call = parts.subList(from, Math.min(parts.size(), from + most));
+                if (!key.server.running()) {
+                    call.forEach(dispatch -> reports.accept(
+                            new Report.DispatchEnded(dispatch, new Outcome.Lost(Progress.NOT_WRITTEN))));
+                } else {
+                    peers.computeIfAbsent(key.server, Peer::new).link(call).send(call);
+                }
+            }
+        });
+    }
+
+    public void callOff(List<Dispatch> dispatches) {
+        for (Dispatch dispatch : dispatches) {
+            Peer peer = peers.get(dispatch.server());
+            if (peer != null) {
+                for (ShardLink link : List.copyOf(peer.links)) {
+                    if (link.callOff(dispatch)) {
+                        break;
+                    }
+                }
+            }
+        }
+    }
+
+    public void probe(List<ShardServer> servers) {
+        servers.forEach(server -> peers.computeIfAbsent(server, Peer::new).link(List.of()).probe(loadByProbe));
+    }
+
+    public int links() {
+        return peers.values().stream().mapToInt(peer -> peer.links.size()).sum();
+    }
+}
