--- a/src/main/java/sprucehold/Main.java
+++ b/src/main/java/sprucehold/Main.java
@@ -9,6 +9,7 @@
 import picocli.CommandLine.IVersionProvider;
 import picocli.CommandLine.Option;
 import sprucehold.drill.Drill;
+import sprucehold.node.Rehearsal;
 import sprucehold.node.Seat;
 import sprucehold.node.Service;
 import sprucehold.node.ServiceLogManager;
@@ -16,7 +17,8 @@
 /** The command line. */
 @Command(name = "sprucehold", description = "The root node (gatherer) of a sharded search service.",
         mixinStandardHelpOptions = true, versionProvider = Main.Version.class, synopsisSubcommandLabel = "COMMAND",
-        subcommands = {Main.Serve.class, Main.DrillCommand.class, Main.Check.class, Main.VersionCommand.class})
+        subcommands = {Main.Serve.class, Main.DrillCommand.class, Main.Check.class,
+                Main.Rehearse.class, Main.StandIn.class, Main.VersionCommand.class})
 public final class Main {
     private Main() {
     }
@@ -26,7 +28,8 @@
         System.setProperty("java.util.logging.manager", ServiceLogManager.class.getName());
         System.setProperty("java.util.logging.SimpleFormatter.format", "%1$tFT%1$tT.%1$tL %4$s %5$s%6$s%n");
         int exit = commandLine().execute(args);
-        if (exit != CommandLine.ExitCode.OK || !serves(args)) {
+        // A command that serves has returned, and its event loop keeps the process.
+        if (exit != CommandLine.ExitCode.OK) {
             System.exit(exit);
         }
     }
@@ -45,10 +48,6 @@
         return line;
     }
 
-    private static boolean serves(String[] args) {
-        return args.length > 0 && args[0].equals("serve");
-    }
-
     static final class Version implements IVersionProvider {
         @Override
         public String[] getVersion() {
@@ -101,6 +100,32 @@
         }
     }
 
+    @Command(name = "rehearse", description = "Tries a gatherer among stand-ins on free ports of this machine: a scan "
+            + "of each table type; exit 1 unless all are answered.", mixinStandardHelpOptions = true)
+    static final class Rehearse implements Callable<Integer> {
+        @CommandLine.Mixin
+        private Place place;
+
+        @Override
+        public Integer call() throws IOException, Service.StartFailedException {
+            return Rehearsal.run(place.seat(), Brain::new, System.out::println) ? CommandLine.ExitCode.OK
+                    : CommandLine.ExitCode.SOFTWARE;
+        }
+    }
+
+    @Command(name = "stand-in", description = "Stands in for the discovery and the shard servers that a gatherer would "
+            + "be told of, on their addresses.", mixinStandardHelpOptions = true)
+    static final class StandIn implements Callable<Integer> {
+        @CommandLine.Mixin
+        private Place place;
+
+        @Override
+        public Integer call() throws IOException, Service.StartFailedException {
+            Service.standIn(place.seat());
+            return CommandLine.ExitCode.OK;
+        }
+    }
+
     @Command(name = "drill", description = "Runs many gatherers on the bench's wire, on standard input and output.",
             mixinStandardHelpOptions = true)
     static final class DrillCommand implements Callable<Integer> {
--- a/src/main/java/sprucehold/node/Node.java
+++ b/src/main/java/sprucehold/node/Node.java
@@ -58,7 +58,8 @@
         this.clients = new ClientServer(vertx, seat.facts().segments(), this);
     }
 
-    Future<Void> start() {
+    /** Returns the port on which clients are served. */
+    Future<Integer> start() {
         LOG.info(seat.summary());
         if (seat.known() != null) {
             report(new Report.ListCame(true, seat.known().servers()));
@@ -66,7 +67,7 @@
         watch.start(seat.known() == null ? -1 : seat.known().index());
         return clients.listen(seat.listen().host(), seat.listen().port()).map(server -> {
             LOG.info("listening at " + seat.listen());
-            return null;
+            return server.actualPort();
         });
     }
 
--- /dev/null
+++ b/src/main/java/sprucehold/node/Rehearsal.java
@@ -0,0 +1,75 @@
+package sprucehold.node;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpMethod;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Consumer;
+import sprucehold.port.Gatherer;
+import sprucehold.port.TableType;
+import sprucehold.standin.StandIns;
+
+/** Starts a gatherer among stand-ins on free ports of this machine and asks it for a scan of each table type. */
+public final class Rehearsal {
+    private static final String HOST = "127.0.0.1";
+
+    private Rehearsal() {
+    }
+
+    /** Returns whether each scan was answered whole; {@code line} takes what happened. */
+    public static boolean run(Seat seat, Gatherer.Factory factory, Consumer<String> line)
+            throws Service.StartFailedException {
+        if (seat.known() == null) {
+            throw new Service.StartFailedException("no known list to stand in for");
+        }
+        Vertx vertx = Service.vertx();
+        var done = new CompletableFuture<Boolean>();
+        vertx.runOnContext(none -> StandIns.start(vertx, HOST, 0, seat.known().servers(), true)
+                .compose(discovery -> {
+                    // Begun without a list, so that the whole one is asked for.
+                    var moved = new Seat(seat.name(), new Seat.Address(HOST, 0),
+                            new Seat.Address(HOST, discovery), seat.seed(), null, seat.facts());
+                    var node = new Node(vertx, moved, factory);
+                    return node.start().compose(port -> whenReady(vertx, node)
+                            .compose(ready -> ask(vertx, seat, port, line)))
+                            .compose(whole -> node.end(1).map(whole));
+                })
+                .onComplete(done::complete, done::completeExceptionally));
+        try {
+            return done.get(20, TimeUnit.SECONDS);
+        } catch (ExecutionException | TimeoutException e) {
+            throw new Service.StartFailedException(String.valueOf(e.getMessage()));
+        } catch (InterruptedException e) {
+            throw new Service.StartFailedException("interrupted");
+        } finally {
+            vertx.close();
+        }
+    }
+
+    private static Future<Void> whenReady(Vertx vertx, Node node) {
+        return node.ready() ? Future.succeededFuture() : vertx.timer(10).compose(waited -> whenReady(vertx, node));
+    }
+
+    private static Future<Boolean> ask(Vertx vertx, Seat seat, int port, Consumer<String> line) {
+        HttpClient client = vertx.createHttpClient();
+        Future<Boolean> whole = Future.succeededFuture(true);
+        int number = 0;
+        for (TableType type : seat.facts().deployment().tableTypes()) {
+            String id = "rehearsal-" + number++;
+            whole = whole.compose(before -> client.request(HttpMethod.POST, port, HOST, "/" + type.name())
+                    .compose(request -> request.putHeader("X-Request-Id", id).putHeader("X-Class", type.name())
+                            .putHeader("X-Deadline-Ms", "5000")
+                            .send(Buffer.buffer("{\"buckets\":[{\"bucket\":0,\"part\":1.0}],\"body\":\"c41e77d0\"}")))
+                    .compose(response -> response.body().map(body -> {
+                        line.accept(type.name() + ": " + response.statusCode() + " " + body.toString().strip());
+                        return before && response.statusCode() == 200;
+                    })));
+        }
+        return whole;
+    }
+}
--- a/src/main/java/sprucehold/node/Service.java
+++ b/src/main/java/sprucehold/node/Service.java
@@ -9,6 +9,7 @@
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import sprucehold.port.Gatherer;
+import sprucehold.standin.StandIns;
 
 /** The process around a node: its event loop, and its end on a signal. */
 public final class Service {
@@ -21,8 +22,7 @@
 
     /** Serves until the process is ended; returns once it serves. */
     public static void start(Seat seat, Gatherer.Factory factory) throws StartFailedException {
-        Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
-                .setInternalBlockingPoolSize(1));
+        Vertx vertx = vertx();
         var started = new CompletableFuture<Node>();
         vertx.runOnContext(none -> {
             try {
@@ -32,9 +32,33 @@
                 started.completeExceptionally(e);
             }
         });
+        Node node = await(started);
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> end(vertx, node, seat), "end"));
+    }
+
+    /** One event loop for everything, and no more threads than must be. */
+    static Vertx vertx() {
+        return Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
+                .setInternalBlockingPoolSize(1));
+    }
+
+    /** Serves stand-ins for all that the seat names, on its addresses. */
+    public static void standIn(Seat seat) throws StartFailedException {
+        if (seat.known() == null) {
+            throw new StartFailedException("no known list to stand in for");
+        }
+        Vertx vertx = vertx();
+        var started = new CompletableFuture<Integer>();
+        vertx.runOnContext(none -> StandIns.start(vertx, seat.discovery().host(), seat.discovery().port(),
+                seat.known().servers(), false).onComplete(started::complete, started::completeExceptionally));
+        await(started);
+        LOG.info("standing in for discovery at " + seat.discovery() + " and " + seat.known().servers().size()
+                + " shard servers");
+    }
+
+    private static <T> T await(CompletableFuture<T> started) throws StartFailedException {
         try {
-            Node node = started.get();
-            Runtime.getRuntime().addShutdownHook(new Thread(() -> end(vertx, node, seat), "end"));
+            return started.get();
         } catch (ExecutionException e) {
             throw new StartFailedException(String.valueOf(e.getCause().getMessage()));
         } catch (InterruptedException e) {
--- /dev/null
+++ b/src/main/java/sprucehold/standin/StandIns.java
@@ -0,0 +1,42 @@
+package sprucehold.standin;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import java.util.ArrayList;
+import java.util.List;
+import sprucehold.picker.ServerNews;
+
+/** Discovery and shard servers on this machine, for trying a gatherer out; they know no trouble and no load. */
+public final class StandIns {
+    private StandIns() {
+    }
+
+    /**
+     * Starts a shard server for each of the list, and then discovery with that list.
+     *
+     * @param moved whether shard servers take any free port instead of the ones listed
+     * @return the port of discovery
+     */
+    public static Future<Integer> start(Vertx vertx, String host, int port, List<ServerNews> servers, boolean moved) {
+        var endpoints = new ArrayList<ObjectNode>();
+        Future<?> started = Future.succeededFuture();
+        for (ServerNews server : servers) {
+            int colon = server.address().lastIndexOf(':');
+            String at = server.address().substring(0, colon);
+            int listed = Integer.parseInt(server.address().substring(colon + 1));
+            started = started
+                    .compose(before -> new StandInShardServer(vertx).listen(at, moved ? 0 : listed))
+                    .map(listening -> endpoints.add(endpoint(server, at + ":" + listening.actualPort())));
+        }
+        return started.compose(all -> new StandInDiscovery(vertx, endpoints).listen(host, port))
+                .map(discovery -> discovery.actualPort());
+    }
+
+    private static ObjectNode endpoint(ServerNews server, String address) {
+        return new ObjectMapper().createObjectNode().put("name", server.name()).put("address", address)
+                .put("zone", server.zone()).put("group", server.cell()).put("status", "active")
+                .put("since_ms", server.startedAtMs());
+    }
+}
