Queue calls of the picker while orders are carried out; panics end one connection

Calls now wait their turn. Also: an exception while reading a frame closes that link alone (ShardLink.opened); probes wait for the dial; shares that were rounded on the way are made whole, and those that don't add up to 1 are refused (ScanReader.read).

--- a/src/main/java/sprucehold/clients/ClientServer.java
+++ b/src/main/java/sprucehold/clients/ClientServer.java
@@ -35,7 +35,8 @@
     public ClientServer(Vertx vertx, int segments, Desk desk) {
         this.desk = desk;
         this.reader = new ScanReader(segments);
-        this.server = vertx.createHttpServer(new HttpServerOptions().setTcpNoDelay(true).setIdleTimeout(0));
+        this.server = vertx.createHttpServer(new HttpServerOptions().setTcpNoDelay(true)
+                .setHandle100ContinueAutomatically(true));
         server.connectionHandler(connection -> {
             connections.put(connection, 0);
             connection.closeHandler(none -> connections.remove(connection));
--- a/src/main/java/sprucehold/clients/ScanReader.java
+++ b/src/main/java/sprucehold/clients/ScanReader.java
@@ -52,6 +52,13 @@
             throw new MalformedException("the body needs buckets and body");
         }
         var parts = new ArrayList<Scan.Part>(buckets.size());
+        double whole = 0;
+        for (JsonNode bucket : buckets) {
+            whole += bucket.path("part").asDouble(0);
+        }
+        if (!(Math.abs(whole - 1) < 0.01)) {
+            throw new MalformedException("the parts must add up to 1");
+        }
         Set<Integer> seen = new HashSet<>();
         for (JsonNode bucket : buckets) {
             int segment = bucket.path("bucket").isInt() ? bucket.get("bucket").intValue() : -1;
@@ -59,10 +66,11 @@
             if (segment < 0 || segment >= segments || !seen.add(segment)) {
                 throw new MalformedException("each bucket must be one of " + segments + " and stand once");
             }
-            if (!(weight >= 0 && weight <= 1.001)) {
+            if (weight < 0) {
                 throw new MalformedException("each part must be a share of the whole");
             }
-            parts.add(new Scan.Part(segment, weight));
+            // Shares that were rounded on the way still make a whole.
+            parts.add(new Scan.Part(segment, weight / whole));
         }
         return new Scan(id, tableType, headers.get("X-Tenant"), Double.parseDouble(deadline), parts,
                 node.get("body").textValue().getBytes(StandardCharsets.UTF_8));
--- a/src/main/java/sprucehold/discovery/ListNews.java
+++ b/src/main/java/sprucehold/discovery/ListNews.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.util.NetUtil;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import sprucehold.picker.ServerNews;
@@ -29,7 +30,7 @@
     /** {@code cells} is how many cells there are. */
     public static ListNews decode(byte[] body, int cells) throws MalformedException {
         try {
-            return decode(MAPPER.readTree(new String(body, java.nio.charset.StandardCharsets.UTF_8)), cells);
+            return decode(MAPPER.readTree(new String(body, StandardCharsets.UTF_8)), cells);
         } catch (JsonProcessingException e) {
             throw new MalformedException("not JSON: " + e.getOriginalMessage());
         }
--- a/src/main/java/sprucehold/discovery/Watch.java
+++ b/src/main/java/sprucehold/discovery/Watch.java
@@ -1,5 +1,6 @@
 package sprucehold.discovery;
 
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
@@ -9,6 +10,7 @@
 import io.vertx.core.http.RequestOptions;
 import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
+import java.util.logging.Level;
 import java.util.logging.Logger;
 import sprucehold.picker.Report;
 
@@ -48,8 +50,11 @@
         this.askWithinMs = Math.max(1000, (long) askWithinMs);
         this.clock = clock;
         this.reports = reports;
-        this.client = vertx.createHttpClient(new HttpClientOptions().setConnectTimeout(WAY_MS),
-                new PoolOptions().setHttp1MaxSize(1));
+        this.client = vertx.httpClientBuilder().with(new HttpClientOptions().setConnectTimeout(WAY_MS))
+                .with(new PoolOptions().setHttp1MaxSize(1))
+                .withConnectHandler(connection -> connection.exceptionHandler(
+                        failure -> LOG.log(Level.FINE, "connection to discovery", failure)))
+                .build();
     }
 
     /** Begins after a version that is known, or with the whole list if none is (below 0). */
@@ -72,7 +77,7 @@
                         .setIdleTimeout(watching ? WAIT_MS + WAY_MS : 2 * WAY_MS))
                 .compose(request -> request.send()
                         .compose(response -> response.statusCode() == 200 ? response.body()
-                                : io.vertx.core.Future.failedFuture("status " + response.statusCode())))
+                                : Future.failedFuture("status " + response.statusCode())))
                 .onComplete(body -> answered(body, calledAt), failure -> failed(failure.getMessage()));
     }
 
--- a/src/main/java/sprucehold/node/Node.java
+++ b/src/main/java/sprucehold/node/Node.java
@@ -8,6 +8,7 @@
 import java.util.Queue;
 import java.util.Set;
 import java.util.function.Supplier;
+import java.util.logging.Level;
 import java.util.logging.Logger;
 import java.util.stream.Collectors;
 import sprucehold.clients.ClientServer;
@@ -36,8 +37,10 @@
     private final Watch watch;
     private final ClientServer clients;
     private final Set<String> tableTypes;
-    /** What was reported while orders were being carried out. */
-    private final Queue<Report> reports = new ArrayDeque<>();
+    /** What was reported since the picker was last told. */
+    private final List<Report> reports = new ArrayList<>();
+    /** Calls of the picker that came while orders were being carried out wait their turn here. */
+    private final Queue<Supplier<Orders>> calls = new ArrayDeque<>();
     private boolean carrying;
     private boolean hasList;
     private boolean ending;
@@ -103,30 +106,37 @@
             LOG.info("ready: a list of shard servers is held");
         }
         reports.add(report);
-        if (!carrying) {
+        if (reports.size() == 1) {
             run(this::reported);
         }
     }
 
     private Orders reported() {
-        var batch = new ArrayList<Report>(reports);
+        List<Report> batch = List.copyOf(reports);
         reports.clear();
         return picker.report(clock.now(), batch);
     }
 
     private void run(Supplier<Orders> call) {
+        calls.add(call);
+        if (carrying) {
+            return;
+        }
         carrying = true;
+        double nextTickAt = timerAt;
         try {
-            Orders orders = call.get();
-            carryOut(orders);
-            while (!reports.isEmpty()) {
-                orders = reported();
+            while (!calls.isEmpty()) {
+                Orders orders = calls.poll().get();
+                nextTickAt = orders.nextTickAtMs();
                 carryOut(orders);
             }
-            arm(orders.nextTickAtMs());
+        } catch (RuntimeException e) {
+            LOG.log(Level.SEVERE, "panic: orders could not be carried out", e);
+            nextTickAt = clock.now();
         } finally {
             carrying = false;
         }
+        arm(nextTickAt);
     }
 
     private void carryOut(Orders orders) {
--- a/src/main/java/sprucehold/shards/ShardLink.java
+++ b/src/main/java/sprucehold/shards/ShardLink.java
@@ -45,7 +45,10 @@
     private final Map<String, Flight> flights = new LinkedHashMap<>();
     /** Parts called off whose answers may still come, and until when they may. */
     private final Map<String, Double> calledOff = new HashMap<>();
+    /** When each probe that has no answer yet was sent. */
     private final Queue<Double> probes = new ArrayDeque<>();
+    /** Probes that wait for the connection to come up, and whether they ask for the load. */
+    private final List<Boolean> waitingProbes = new ArrayList<>();
     private int waitingParts;
     private NetSocket socket;
     private double heardAt;
@@ -77,15 +80,25 @@
         idleSince = heardAt;
         socket.exceptionHandler(failure -> LOG.log(Level.FINE, "connection to " + address, failure));
         socket.closeHandler(none -> close(false, "closed by the other side"));
-        socket.handler(new FrameReader(this::received, why -> {
+        var reader = new FrameReader(this::received, why -> {
             LOG.warning("shard server at " + address + " sent what can't be read: " + why);
             close(false, why);
-        }));
+        });
+        socket.handler(bytes -> {
+            try {
+                reader.handle(bytes);
+            } catch (RuntimeException e) {
+                LOG.log(Level.SEVERE, "panic: the connection to the shard server at " + address + " is closed", e);
+                close(false, "panic");
+            }
+        });
         owner.up(this);
         List<List<Dispatch>> calls = new ArrayList<>(waiting);
         waiting.clear();
         waitingParts = 0;
         calls.forEach(this::write);
+        waitingProbes.forEach(this::probe);
+        waitingProbes.clear();
     }
 
     /** Whether a call of so many parts can go out on it, now or when it is up. */
@@ -155,7 +168,7 @@
 
     void probe(boolean load) {
         if (socket == null) {
-            owner.probeEnded(this, new Outcome.Lost(Progress.NOT_WRITTEN), 0);
+            waitingProbes.add(load);
             return;
         }
         probes.add(owner.now());
@@ -227,6 +240,7 @@
         flights.clear();
         unwritten.forEach(dispatch -> owner.ended(dispatch, new Outcome.Lost(Progress.NOT_WRITTEN)));
         written.forEach(flight -> owner.ended(flight.dispatch, new Outcome.Lost(Progress.WRITTEN)));
+        waitingProbes.forEach(probe -> owner.probeEnded(this, new Outcome.Lost(Progress.NOT_WRITTEN), 0));
         probes.forEach(at -> owner.probeEnded(this, new Outcome.Lost(Progress.WRITTEN), owner.now() - at));
     }
 }
