--- a/src/main/java/sprucehold/clients/ClientServer.java
+++ b/src/main/java/sprucehold/clients/ClientServer.java
@@ -148,8 +148,12 @@
         if (draining) {
             response.putHeader("Connection", "close");
         }
-        response.setStatusCode(status).end(body).onComplete(done ->
-                connections.computeIfPresent(request.connection(), (connection, requests) -> requests - 1));
+        response.setStatusCode(status).end(body).onComplete(done -> {
+            connections.computeIfPresent(request.connection(), (connection, requests) -> requests - 1);
+            if (draining) {
+                request.connection().close();
+            }
+        });
     }
 
     /** From now on answers ask clients to go elsewhere. */
--- a/src/main/java/sprucehold/shards/ShardLink.java
+++ b/src/main/java/sprucehold/shards/ShardLink.java
@@ -216,7 +216,7 @@
             return;
         }
         boolean unheard = flights.values().stream()
-                .anyMatch(flight -> flight.writtenAt > heardAt && now - flight.writtenAt > silenceMs);
+                .anyMatch(flight -> flight.writtenAt >= heardAt && now - flight.writtenAt > silenceMs);
         doubtful |= unheard;
         boolean idle = flights.isEmpty() && probes.isEmpty();
         if (idle && (doubtful || now - idleSince > idleMs)) {
--- a/src/main/java/sprucehold/shards/ShardServers.java
+++ b/src/main/java/sprucehold/shards/ShardServers.java
@@ -107,7 +107,7 @@
     }
 
     /** Links are closed well before the other side may: two dials' time is left for the way and the sweep. */
-    private void sweep(double dialMs) {
+    void sweep(double dialMs) {
         for (Peer peer : peers.values()) {
             List.copyOf(peer.links).forEach(link -> link.sweep(dialMs, limits.idleCloseMs() - 2 * dialMs));
         }
@@ -138,12 +138,10 @@
     public void callOff(List<Dispatch> dispatches) {
         for (Dispatch dispatch : dispatches) {
             Peer peer = peers.get(dispatch.server());
-            if (peer != null) {
-                for (ShardLink link : List.copyOf(peer.links)) {
-                    if (link.callOff(dispatch)) {
-                        break;
-                    }
-                }
+            boolean found = peer != null && List.copyOf(peer.links).stream().anyMatch(link -> link.callOff(dispatch));
+            if (!found) {
+                // Only after a panic is one on no link and not reported; nobody knows whether it was written.
+                reports.accept(new Report.DispatchEnded(dispatch, new Outcome.CalledOff(Progress.WRITTEN)));
             }
         }
     }
--- /dev/null
+++ b/src/test/java/sprucehold/clients/ScanReaderTest.java
@@ -0,0 +1,81 @@
+package sprucehold.clients;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+
+import io.vertx.core.MultiMap;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import sprucehold.picker.Answer;
+import sprucehold.picker.Scan;
+
+public class ScanReaderTest {
+    private static final String PART = "{\"bucket\":3,\"part\":1.0}";
+
+    private static Scan read(String id, String tableType, String deadline, String body) throws Exception {
+        MultiMap headers = MultiMap.caseInsensitiveMultiMap();
+        if (id != null) {
+            headers.add("x-request-id", id);
+        }
+        headers.add("X-Class", tableType).add("X-Tenant", "acme");
+        if (deadline != null) {
+            headers.add("X-Deadline-Ms", deadline);
+        }
+        return new ScanReader(10).read("q", headers, body.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static String body(String buckets) {
+        return "{\"buckets\":[" + buckets + "],\"body\":\"c4\"}";
+    }
+
+    @DataProvider
+    Object[][] malformed() {
+        return new Object[][] {
+            {null, "q", "9", body(PART)}, {"", "q", "9", body(PART)}, {"a b", "q", "9", body(PART)},
+            {"a\n", "q", "9", body(PART)}, {"s", "r", "9", body(PART)}, {"s", "q", null, body(PART)},
+            {"s", "q", "9.5", body(PART)}, {"s", "q", "-9", body(PART)}, {"s", "q", "", body(PART)},
+            {"s", "q", "9", ""}, {"s", "q", "9", "{"}, {"s", "q", "9", "[]"}, {"s", "q", "9", body("")},
+            {"s", "q", "9", "{\"buckets\":[" + PART + "]}"}, {"s", "q", "9", body("3")},
+            {"s", "q", "9", body("{\"part\":1}")}, {"s", "q", "9", body("{\"bucket\":10,\"part\":1}")},
+            {"s", "q", "9", body("{\"bucket\":-1,\"part\":1}")}, {"s", "q", "9", body("{\"bucket\":1.5,\"part\":1}")},
+            {"s", "q", "9", body("{\"bucket\":1,\"part\":0.5},{\"bucket\":1,\"part\":0.5}")},
+            {"s", "q", "9", body("{\"bucket\":1}")}, {"s", "q", "9", body("{\"bucket\":1,\"part\":0.5}")},
+            {"s", "q", "9", body("{\"bucket\":1,\"part\":1.5},{\"bucket\":2,\"part\":-0.5}")},
+        };
+    }
+
+    @Test(dataProvider = "malformed")
+    public void scansThatCantBeTakenAreRefused(String id, String tableType, String deadline, String body) {
+        assertThrows(ScanReader.MalformedException.class, () -> read(id, tableType, deadline, body));
+    }
+
+    @Test
+    public void scanIsReadWithItsSharesMadeWhole() throws Exception {
+        Scan scan = read("s", "q", "480", "{\"more\":1,\"buckets\":[{\"bucket\":3,\"part\":0.333,\"effort\":9000},"
+                + "{\"bucket\":9,\"part\":0.333},{\"bucket\":0,\"part\":0.333}],\"body\":\"c4\\u00e9\"}");
+        assertEquals(scan.customer(), "acme");
+        assertEquals(scan.timeLeftMs(), 480.0);
+        assertEquals(scan.parts().stream().map(Scan.Part::segment).toList(), List.of(3, 9, 0));
+        assertEquals(scan.parts().stream().mapToDouble(Scan.Part::weight).sum(), 1, 1e-9);
+        assertEquals(new String(scan.text(), StandardCharsets.UTF_8), "c4é");
+    }
+
+    @DataProvider
+    Object[][] seconds() {
+        return new Object[][] {{250, "0.25"}, {1000, "1"}, {10_000, "10"}, {1, "0.001"}, {1234.4, "1.234"}};
+    }
+
+    @Test(dataProvider = "seconds")
+    public void adviceKeepsItsDecimals(double ms, String text) {
+        assertEquals(AnswerWriter.seconds(ms), text);
+    }
+
+    @Test
+    public void valuesStandInTheAnswerAsTheyCame() {
+        var values = List.of(new Answer.Value(3, "5b\"é".getBytes(StandardCharsets.UTF_8)));
+        assertEquals(new String(AnswerWriter.body(new Answer.Completed(false, values)), StandardCharsets.UTF_8),
+                "{\"finished\":false,\"found\":[{\"bucket\":3,\"item\":\"5b\\\"é\"}]}");
+    }
+}
--- /dev/null
+++ b/src/test/java/sprucehold/discovery/WatchTest.java
@@ -0,0 +1,133 @@
+package sprucehold.discovery;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServerRequest;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import sprucehold.picker.Report;
+import sprucehold.picker.ServerNews;
+
+/** The watch against a scripted discovery on loopback. */
+public class WatchTest {
+    private Vertx vertx;
+    private Watch watch;
+    private final BlockingQueue<Report> reports = new LinkedBlockingQueue<>();
+    private final BlockingQueue<HttpServerRequest> calls = new LinkedBlockingQueue<>();
+
+    @BeforeMethod
+    public void start() throws Exception {
+        reports.clear();
+        calls.clear();
+        vertx = Vertx.vertx();
+        int port = vertx.createHttpServer().requestHandler(calls::add).listen(0, "127.0.0.1").toCompletionStage()
+                .toCompletableFuture().get(5, TimeUnit.SECONDS).actualPort();
+        watch = new Watch(vertx, "127.0.0.1", port, 2, 60_000, () -> System.nanoTime() / 1e6, reports::add);
+    }
+
+    @AfterMethod
+    public void stop() {
+        watch.stop();
+        vertx.close();
+    }
+
+    private static String endpoint(String fields) {
+        return "{\"name\":\"s\",\"address\":\"127.0.0.1:1\",\"group\":1,\"status\":\"active\"" + fields + "}";
+    }
+
+    private static String list(long index, boolean complete, String... endpoints) {
+        return "{\"index\":" + index + ",\"snapshot\":" + complete + ",\"endpoints\":[" + String.join(",", endpoints)
+                + "]}";
+    }
+
+    private HttpServerRequest call(String uri) throws InterruptedException {
+        HttpServerRequest request = calls.poll(5, TimeUnit.SECONDS);
+        assertEquals(request.uri(), uri);
+        return request;
+    }
+
+    private Report report() throws InterruptedException {
+        return reports.poll(5, TimeUnit.SECONDS);
+    }
+
+    @DataProvider
+    Object[][] malformed() {
+        return new Object[][] {
+            {""}, {"[]"}, {"{}"}, {"{\"index\":1,\"snapshot\":true}"}, {list(1, true, "3")},
+            {"{\"index\":\"1\",\"snapshot\":true,\"endpoints\":[]}"}, {"{\"index\":1.5,\"snapshot\":true,\"endpoints\":[]}"},
+            {list(1, true, "{\"address\":\"127.0.0.1:1\",\"group\":0,\"status\":\"active\"}")},
+            {list(1, true, endpoint(",\"status\":\"odd\""))}, {list(1, true, endpoint(",\"group\":2"))},
+            {list(1, true, endpoint(",\"group\":-1"))}, {list(1, true, endpoint(",\"address\":\"localhost:1\""))},
+            {list(1, true, endpoint(",\"address\":\"127.0.0.1\""))},
+            {list(1, true, endpoint(",\"address\":\"127.0.0.1:70000\""))},
+        };
+    }
+
+    @Test(dataProvider = "malformed")
+    public void listThatCantBeUsedIsRefusedWhole(String body) {
+        assertThrows(ListNews.MalformedException.class,
+                () -> ListNews.decode(body.getBytes(StandardCharsets.UTF_8), 2));
+    }
+
+    @DataProvider
+    Object[][] states() {
+        return new Object[][] {{"active", ServerNews.State.RUNNING}, {"leaving", ServerNews.State.DRAINING},
+            {"left", ServerNews.State.GONE}};
+    }
+
+    @Test(dataProvider = "states")
+    public void entriesAreReadAsTheyStand(String status, ServerNews.State state) throws Exception {
+        String entry = endpoint(",\"zone\":\"z\",\"since_ms\":1700000000123,\"status\":\"" + status + "\",\"new\":[]");
+        ListNews news = ListNews.decode(list(41, false, entry).getBytes(StandardCharsets.UTF_8), 2);
+        assertEquals(news.index(), 41);
+        assertFalse(news.complete());
+        assertEquals(news.servers().get(0), new ServerNews("s", "127.0.0.1:1", 1, "z", 1700000000123.0, state));
+    }
+
+    @Test
+    public void newsComesAndTheNextCallAsksForWhatIsNewer() throws Exception {
+        watch.start(-1);
+        call("/discovery/hosts").response().end(list(41, true, endpoint("")));
+        assertTrue(((Report.ListCame) report()).complete());
+        call("/discovery/hosts?after=41&wait_ms=20000").response().end(list(43, false, endpoint("")));
+        assertFalse(((Report.ListCame) report()).complete());
+        // Nothing new: nothing told, and asked again.
+        call("/discovery/hosts?after=43&wait_ms=20000").response().end(list(43, false));
+        call("/discovery/hosts?after=43&wait_ms=20000");
+        assertTrue(reports.isEmpty());
+    }
+
+    @DataProvider
+    Object[][] failures() {
+        return new Object[][] {{"status"}, {"malformed"}, {"closed"}, {"back"}};
+    }
+
+    @Test(dataProvider = "failures")
+    public void failedCallIsToldAndRepeatedWhenAsked(String how) throws Exception {
+        watch.start(41);
+        HttpServerRequest request = call("/discovery/hosts?after=41&wait_ms=20000");
+        switch (how) {
+            case "status" -> request.response().setStatusCode(500).end();
+            case "malformed" -> request.response().end("{}");
+            case "closed" -> request.connection().close();
+            default -> request.response().end(list(40, true, endpoint("")));
+        }
+        assertTrue(report() instanceof Report.ListFailed);
+        assertTrue(calls.isEmpty());
+        vertx.runOnContext(none -> watch.ask());
+        // A list whose index went back is asked for anew, whole.
+        request = call(how.equals("back") ? "/discovery/hosts" : "/discovery/hosts?after=41&wait_ms=20000");
+        request.response().end(list(40 + (how.equals("back") ? 0 : 2), true, endpoint("")));
+        assertTrue(report() instanceof Report.ListCame);
+    }
+}
--- /dev/null
+++ b/src/test/java/sprucehold/node/NodeTest.java
@@ -0,0 +1,157 @@
+package sprucehold.node;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import sprucehold.facts.MalformedFactsException;
+import sprucehold.port.Action;
+import sprucehold.port.Event;
+import sprucehold.port.Gatherer;
+
+/** A whole gatherer with scripted decisions, and how its file is read. */
+public class NodeTest {
+    private static final String SETTINGS = "\"settings\":{\"classes\":[{\"name\":\"q\",\"semantics\":\"retryable\","
+            + "\"aimMs\":100,\"giveUpMs\":300}],\"familyInfo\":{\"ranges\":4,\"sets\":2},"
+            + "\"limits\":{\"dialTimeoutMs\":200,\"idleCloseMs\":15000,\"streamsPerConn\":32}}";
+    private static final String KNOWN = "\"known\":{\"index\":7,\"snapshot\":true,\"endpoints\":[{\"name\":\"a\","
+            + "\"address\":\"127.0.0.1:8100\",\"group\":0,\"status\":\"active\"}]}";
+    private static final String PLACE = "\"name\":\"n\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:1\","
+            + "\"seed\":\"ffffffffffffffff\"";
+
+    private Path file;
+    private Vertx vertx;
+
+    @BeforeMethod
+    public void open() throws IOException {
+        file = Files.createTempFile("seat", ".json");
+        vertx = Vertx.vertx();
+    }
+
+    @AfterMethod
+    public void close() throws IOException {
+        Files.delete(file);
+        vertx.close();
+    }
+
+    private Seat seat(String... members) throws IOException {
+        Files.writeString(file, "{" + String.join(",", members) + "}");
+        return Seat.read(file, null, "", null);
+    }
+
+    @DataProvider
+    Object[][] malformed() {
+        return new Object[][] {
+            {new String[] {PLACE}}, {new String[] {SETTINGS}}, {new String[] {PLACE, SETTINGS, "x"}},
+            {new String[] {SETTINGS, PLACE.replace("127.0.0.1:0", "127.0.0.1")}},
+            {new String[] {SETTINGS, PLACE.replace("127.0.0.1:1", ":1")}},
+            {new String[] {SETTINGS, PLACE.replace("ffffffffffffffff", "seed")}},
+            {new String[] {PLACE, SETTINGS.replace("retryable", "odd")}},
+            {new String[] {PLACE, SETTINGS.replace("\"sets\"", "\"classFetch\":[2],\"sets\"")}},
+            {new String[] {PLACE, SETTINGS, KNOWN.replace("\"group\":0", "\"group\":2")}},
+        };
+    }
+
+    @Test(dataProvider = "malformed")
+    public void fileThatCantBeUsedIsRefused(String[] members) {
+        assertThrows(MalformedFactsException.class, () -> seat(members));
+    }
+
+    @Test
+    public void environmentWinsOverTheFile() throws IOException {
+        Seat seat = seat(PLACE, SETTINGS, KNOWN);
+        assertEquals(seat.seed(), -1L);
+        assertEquals(seat.known().index(), 7);
+        assertEquals(seat.facts().segments(), 4);
+        assertEquals(seat.facts().longestTimeoutMs(), 300.0);
+        assertEquals(Seat.read(file, "m", "127.0.0.2:5", null).listen(), new Seat.Address("127.0.0.2", 5));
+        assertEquals(Seat.read(file, "m", null, null).name(), "m");
+        assertEquals(Seat.read(file, null, null, "127.0.0.3:9").discovery(), new Seat.Address("127.0.0.3", 9));
+    }
+
+    private <T> T await(Future<T> future) throws Exception {
+        return future.toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
+    }
+
+    private int port;
+
+    private Node node(Gatherer.Factory factory, String... members) throws Exception {
+        Seat seat = seat(members);
+        var started = new CompletableFuture<Node>();
+        vertx.runOnContext(none -> {
+            var node = new Node(vertx, seat, factory);
+            node.start().onComplete(listening -> {
+                port = listening;
+                started.complete(node);
+            }, started::completeExceptionally);
+        });
+        return started.get(10, TimeUnit.SECONDS);
+    }
+
+    @Test
+    public void scanIsAnsweredThroughTheWholeGatherer() throws Exception {
+        var lines = new ArrayList<String>();
+        // The scripted decisions send every part and answer when one is completed.
+        Gatherer.Factory factory = (seed, facts) -> (now, events) -> {
+            var actions = new ArrayList<Action>();
+            for (Event event : events) {
+                if (event instanceof Event.PartTaken part) {
+                    actions.add(new Action.Dispatch(part.id(), "a", 250));
+                } else if (event instanceof Event.DispatchEnded) {
+                    actions.add(new Action.Answer("rehearsal-0", true));
+                }
+            }
+            return actions;
+        };
+        assertTrue(Rehearsal.run(seat(PLACE, SETTINGS, KNOWN), factory, lines::add));
+        assertEquals(lines, List.of("q: 200 {\"finished\":true,\"found\":[{\"bucket\":0,\"item\":\"0:c41e77d0\"}]}"));
+    }
+
+    @Test
+    public void gathererThatEndsAnswersWhatItHasTaken() throws Exception {
+        var taken = new CompletableFuture<Void>();
+        var woken = new CompletableFuture<Void>();
+        // Nothing is decided until the decisions are woken, which is after the end has begun.
+        Gatherer.Factory factory = (seed, facts) -> (now, events) -> {
+            if (events.stream().anyMatch(Event.ScanTaken.class::isInstance)) {
+                taken.complete(null);
+                return List.of(new Action.Wake(200));
+            }
+            if (events.contains(new Event.Woken()) && taken.isDone()) {
+                woken.complete(null);
+                return List.of(new Action.Throttle("s", 250));
+            }
+            return List.of();
+        };
+        Node node = node(factory, PLACE, SETTINGS, KNOWN);
+        assertTrue(node.ready());
+        Future<Integer> status = vertx.createHttpClient().request(HttpMethod.POST, port, "127.0.0.1", "/q")
+                .compose(request -> request.putHeader("X-Request-Id", "s").putHeader("X-Class", "q")
+                        .putHeader("X-Deadline-Ms", "300")
+                        .send(Buffer.buffer("{\"buckets\":[{\"bucket\":0,\"part\":1}],\"body\":\"\"}")))
+                .map(response -> response.statusCode());
+        taken.get(10, TimeUnit.SECONDS);
+        var ended = new CompletableFuture<Void>();
+        vertx.runOnContext(none -> node.end(1).onComplete(ended::complete, ended::completeExceptionally));
+        ended.get(10, TimeUnit.SECONDS);
+        assertTrue(woken.isDone());
+        assertFalse(node.ready());
+        assertEquals((int) await(status), 503);
+    }
+}
--- /dev/null
+++ b/src/test/java/sprucehold/shards/ShardServersTest.java
@@ -0,0 +1,304 @@
+package sprucehold.shards;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertTrue;
+
+import io.vertx.core.Context;
+import io.vertx.core.Handler;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetServer;
+import io.vertx.core.net.NetSocket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import sprucehold.facts.Connections;
+import sprucehold.picker.Dispatch;
+import sprucehold.picker.Outcome;
+import sprucehold.picker.Picker;
+import sprucehold.picker.Progress;
+import sprucehold.picker.Report;
+import sprucehold.picker.Scan;
+import sprucehold.picker.ServerNews;
+import sprucehold.port.Action;
+import sprucehold.port.Deployment;
+import sprucehold.port.Event;
+import sprucehold.port.TableType;
+
+/** The connections to shard servers against scripted ones on loopback. */
+public class ShardServersTest {
+    private static final int BIG = 8 << 20;
+
+    private Vertx vertx;
+    private ShardServers shards;
+    private Picker picker;
+    private NetServer server;
+    private volatile double now;
+    private BlockingQueue<Report> reports;
+    private BlockingQueue<String> heard;
+    private Context loop;
+
+    @BeforeMethod
+    public void open() {
+        vertx = Vertx.vertx();
+        loop = vertx.getOrCreateContext();
+        reports = new LinkedBlockingQueue<>();
+        heard = new LinkedBlockingQueue<>();
+        now = 0;
+    }
+
+    @AfterMethod
+    public void close() {
+        vertx.close();
+    }
+
+    /** Starts a server that does this with what it is sent, and connections that hold so many parts. */
+    private void start(int parts, int callParts, BiConsumer<NetSocket, String> script) throws Exception {
+        serve(parts, callParts, socket -> socket.handler(bytes -> {
+            heard.add(bytes.toString());
+            script.accept(socket, bytes.toString());
+        }));
+    }
+
+    private void serve(int parts, int callParts, Handler<NetSocket> connected) throws Exception {
+        server = vertx.createNetServer().connectHandler(connected);
+        int port = server.listen(0, "127.0.0.1").toCompletionStage().toCompletableFuture().get(5, TimeUnit.SECONDS)
+                .actualPort();
+        shards = onLoop(() -> new ShardServers(vertx, new Connections(300, 15_000, parts), callParts, false, () -> now,
+                reports::add));
+        var type = new TableType("q", TableType.Repeat.REPLAYABLE, 100, 1, 0, 0, 1, 1, 0);
+        picker = new Picker((time, events) -> events.stream().filter(Event.PartTaken.class::isInstance)
+                .map(event -> (Action) new Action.Dispatch(((Event.PartTaken) event).id(), "a", 240.9)).toList(),
+                new Deployment(1, "z", 5, 1, List.of(type), List.of(), new Deployment.Layout(1, 1, 1),
+                        new Deployment.Limits(4, 1000, true, true, 0), new Deployment.ColdRule(1, 0, 1, 0),
+                        Deployment.DispatchBudget.NONE, new Deployment.ListAccess(false, 0)));
+        list(ServerNews.State.RUNNING, port);
+    }
+
+    private void list(ServerNews.State state, int port) {
+        picker.report(0, List.of(new Report.ListCame(false,
+                List.of(new ServerNews("a", "127.0.0.1:" + port, 0, "z", 0, state)))));
+    }
+
+    private List<Dispatch> dispatches(String id, int parts, String text) {
+        var list = new ArrayList<Scan.Part>();
+        for (int segment = 0; segment < parts; segment++) {
+            list.add(new Scan.Part(segment, 1.0 / parts));
+        }
+        return picker.pick(0, new Scan(id, "q", null, 500, list, text.getBytes())).send();
+    }
+
+    private <T> T onLoop(Callable<T> work) throws Exception {
+        var done = new CompletableFuture<T>();
+        loop.runOnContext(none -> {
+            try {
+                done.complete(work.call());
+            } catch (Exception e) {
+                done.completeExceptionally(e);
+            }
+        });
+        return done.get(5, TimeUnit.SECONDS);
+    }
+
+    private void send(List<Dispatch> dispatches) throws Exception {
+        onLoop(() -> {
+            shards.send(dispatches);
+            return null;
+        });
+    }
+
+    private Outcome outcome(Dispatch dispatch) throws Exception {
+        var ended = (Report.DispatchEnded) reports.poll(5, TimeUnit.SECONDS);
+        assertEquals(ended.dispatch(), dispatch);
+        return ended.outcome();
+    }
+
+    private static void answer(NetSocket socket, String frame) {
+        socket.write(Buffer.buffer().appendIntLE(frame.length()).appendString(frame));
+    }
+
+    @DataProvider
+    Object[][] answers() {
+        return new Object[][] {
+            {"Es.0 hit 5 -\nvalue", "Completed"}, {"Es.0 fault 0 -\n", "Faulty"}, {"Es.0 overload 0 -\n", "TurnedAway"},
+            {"Fwhat was that", "Lost[progress=WRITTEN]"}, {"Xunknown", "Lost[progress=WRITTEN]"},
+            {"Es.0 maybe 0 -\n", "Lost[progress=WRITTEN]"}, {"close", "Lost[progress=WRITTEN]"},
+        };
+    }
+
+    @Test(dataProvider = "answers")
+    public void whatComesBackIsTheOutcome(String frame, String outcome) throws Exception {
+        start(32, 1, (socket, bytes) -> {
+            if (frame.equals("close")) {
+                socket.close();
+            } else {
+                answer(socket, frame);
+            }
+        });
+        List<Dispatch> sent = dispatches("s", 1, "text");
+        send(sent);
+        assertTrue(outcome(sent.get(0)).toString().startsWith(outcome));
+        String call = "As.0 0 d=240 4\ntext";
+        assertEquals(heard.poll(5, TimeUnit.SECONDS),
+                Buffer.buffer().appendIntLE(call.length()).appendString(call).toString());
+    }
+
+    @Test
+    public void refusedConnectionProvesThatNothingRan() throws Exception {
+        start(32, 1, (socket, bytes) -> { });
+        server.close().toCompletionStage().toCompletableFuture().get(5, TimeUnit.SECONDS);
+        List<Dispatch> sent = dispatches("s", 1, "text");
+        send(sent);
+        assertEquals(outcome(sent.get(0)), new Outcome.Lost(Progress.NOT_WRITTEN));
+    }
+
+    @Test
+    public void frameCutOffBeforeItsLastByteProvesThatNothingRan() throws Exception {
+        // More than the socket's buffers hold, to a server that reads none of it and then resets.
+        serve(32, 1, socket -> {
+            socket.pause();
+            vertx.setTimer(100, timer -> socket.close());
+        });
+        List<Dispatch> sent = dispatches("s", 1, "x".repeat(BIG));
+        send(sent);
+        assertEquals(outcome(sent.get(0)), new Outcome.Lost(Progress.PARTLY_WRITTEN));
+    }
+
+    @Test
+    public void partGivenUpIsToldAndItsLateAnswerIsDropped() throws Exception {
+        start(32, 1, (socket, bytes) -> {
+            if (bytes.charAt(4) == 'B') {
+                answer(socket, "Es.0 hit 5 -\nvalue");
+                answer(socket, "Es.1 hit 5 -\nvalue");
+            }
+        });
+        List<Dispatch> sent = dispatches("s", 2, "text");
+        send(sent);
+        assertTrue(heard.poll(5, TimeUnit.SECONDS).contains("As.0"));
+        onLoop(() -> {
+            shards.callOff(List.of(sent.get(0)));
+            return null;
+        });
+        assertEquals(outcome(sent.get(0)), new Outcome.CalledOff(Progress.WRITTEN));
+        assertTrue(outcome(sent.get(1)) instanceof Outcome.Completed);
+        assertEquals((int) onLoop(() -> shards.links()), 1);
+    }
+
+    @Test
+    public void partCalledOffBeforeTheConnectionIsUpIsNeverWritten() throws Exception {
+        start(32, 1, (socket, bytes) -> { });
+        List<Dispatch> sent = dispatches("s", 2, "text");
+        onLoop(() -> {
+            shards.send(sent);
+            shards.callOff(List.of(sent.get(0)));
+            return null;
+        });
+        assertEquals(outcome(sent.get(0)), new Outcome.CalledOff(Progress.NOT_WRITTEN));
+        assertTrue(heard.poll(5, TimeUnit.SECONDS).contains("As.1"));
+    }
+
+    @DataProvider
+    Object[][] closedStates() {
+        return new Object[][] {{ServerNews.State.DRAINING}, {ServerNews.State.GONE}};
+    }
+
+    @Test(dataProvider = "closedStates")
+    public void nothingGoesToAServerThatBeganToDrainWhileTheConnectionCameUp(ServerNews.State state) throws Exception {
+        start(32, 1, (socket, bytes) -> { });
+        List<Dispatch> sent = dispatches("s", 1, "text");
+        onLoop(() -> {
+            shards.send(sent);
+            list(state, server.actualPort());
+            return null;
+        });
+        assertEquals(outcome(sent.get(0)), new Outcome.Lost(Progress.NOT_WRITTEN));
+        assertNull(heard.poll());
+    }
+
+    @Test
+    public void furtherConnectionIsOpenedOnlyWhenOneIsFull() throws Exception {
+        start(2, 1, (socket, bytes) -> { });
+        send(dispatches("s", 3, "text"));
+        send(dispatches("t", 1, "text"));
+        for (int i = 0; i < 2; i++) {
+            assertTrue(heard.poll(5, TimeUnit.SECONDS) != null);
+        }
+        assertEquals((int) onLoop(() -> shards.links()), 2);
+    }
+
+    @Test
+    public void sameIdGoesOutOnAnotherConnectionWhileItsFirstAnswerMayCome() throws Exception {
+        start(32, 1, (socket, bytes) -> { });
+        List<Dispatch> sent = dispatches("s", 1, "text");
+        send(sent);
+        assertTrue(heard.poll(5, TimeUnit.SECONDS).contains("As.0"));
+        onLoop(() -> {
+            shards.callOff(sent);
+            shards.send(sent);
+            return null;
+        });
+        assertEquals((int) onLoop(() -> shards.links()), 2);
+    }
+
+    @Test
+    public void partsOfOneScanShareCallsAndOthersNever() throws Exception {
+        start(32, 2, (socket, bytes) -> { });
+        var all = new ArrayList<>(dispatches("s", 3, "one"));
+        all.addAll(dispatches("t", 1, "two"));
+        send(all);
+        var bytes = new StringBuilder();
+        while (!bytes.toString().contains("two")) {
+            bytes.append(heard.poll(5, TimeUnit.SECONDS));
+        }
+        assertEquals(bytes.toString().split("A[st]\\.", -1).length, 4, bytes.toString());
+        assertTrue(bytes.toString().contains("As.0 0 d=240 3\nones.1 1 d=240 3\none"));
+    }
+
+    @Test
+    public void silentConnectionGetsNoFurtherPartsAndIsClosedOnceNothingIsOutOnIt() throws Exception {
+        start(32, 1, (socket, bytes) -> { });
+        List<Dispatch> first = dispatches("s", 1, "text");
+        send(first);
+        assertTrue(heard.poll(5, TimeUnit.SECONDS).contains("As.0"));
+        now = 301;
+        onLoop(() -> {
+            shards.sweep(300);
+            shards.send(dispatches("t", 1, "text"));
+            return null;
+        });
+        assertTrue(heard.poll(5, TimeUnit.SECONDS).contains("At.0"));
+        assertEquals((int) onLoop(() -> shards.links()), 2);
+        onLoop(() -> {
+            shards.callOff(first);
+            shards.sweep(300);
+            return null;
+        });
+        assertEquals((int) onLoop(() -> shards.links()), 1);
+    }
+
+    @Test
+    public void idleConnectionIsClosedBeforeTheServerMay() throws Exception {
+        start(32, 1, (socket, bytes) -> answer(socket, "Es.0 hit 5 -\nvalue"));
+        List<Dispatch> sent = dispatches("s", 1, "text");
+        send(sent);
+        outcome(sent.get(0));
+        for (double[] step : new double[][] {{14_400, 1}, {14_401, 0}}) {
+            now = step[0];
+            onLoop(() -> {
+                shards.sweep(300);
+                return null;
+            });
+            assertEquals((int) onLoop(() -> shards.links()), (int) step[1]);
+        }
+    }
+}
