--- a/src/main/java/sprucehold/clients/ClientServer.java
+++ b/src/main/java/sprucehold/clients/ClientServer.java
@@ -23,6 +23,8 @@
 public final class ClientServer {
     private static final Logger LOG = Logger.getLogger(ClientServer.class.getName());
     private static final int LONGEST_BODY = 64 * 1024;
+    /** Clients on a machine that vanished say nothing; their connections mustn't hold descriptors for good. */
+    private static final int IDLE_SECONDS = 120;
 
     private final HttpServer server;
     private final Desk desk;
@@ -36,7 +38,7 @@
         this.desk = desk;
         this.reader = new ScanReader(segments);
         this.server = vertx.createHttpServer(new HttpServerOptions().setTcpNoDelay(true)
-                .setHandle100ContinueAutomatically(true));
+                .setIdleTimeout(IDLE_SECONDS).setHandle100ContinueAutomatically(true));
         server.connectionHandler(connection -> {
             connections.put(connection, 0);
             connection.closeHandler(none -> connections.remove(connection));
--- a/src/main/java/sprucehold/picker/Picker.java
+++ b/src/main/java/sprucehold/picker/Picker.java
@@ -74,6 +74,11 @@
         return scans.size();
     }
 
+    /** How much is in the books, for scans of whatever age. */
+    int held() {
+        return scans.size() + parts.size() + openParts + ends.size() + patience.size() + events.size();
+    }
+
     /** Takes a scan of a known table type whose id isn't open. It gets exactly one reply, now or later. */
     public Orders pick(double nowMs, Scan scan) {
         now = nowMs;
--- a/src/test/java/sprucehold/node/NodeTest.java
+++ b/src/test/java/sprucehold/node/NodeTest.java
@@ -9,7 +9,10 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
+import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -123,6 +126,33 @@
         assertEquals(lines, List.of("q: 200 {\"finished\":true,\"found\":[{\"bucket\":0,\"item\":\"0:c41e77d0\"}]}"));
     }
 
+    @Test
+    public void requestsOnTheHeelsOfAnAnswerAreWokenFor() throws Exception {
+        // The first scan is answered at once, the second only when the decisions are woken.
+        Gatherer.Factory factory = (seed, facts) -> (now, events) -> {
+            for (Event event : events) {
+                if (event instanceof Event.ScanTaken scan) {
+                    return List.of(scan.id().equals("a") ? new Action.Throttle("a", 0) : new Action.Wake(20));
+                }
+            }
+            return events.contains(new Event.Woken()) ? List.of(new Action.Throttle("b", 500)) : List.of();
+        };
+        node(factory, PLACE, SETTINGS, KNOWN);
+        String body = "{\"buckets\":[{\"bucket\":0,\"part\":1}],\"body\":\"\"}";
+        String request = "POST /q HTTP/1.1\r\nHost: h\r\nX-Request-Id: %s\r\nX-Class: q\r\nX-Deadline-Ms: 300\r\n"
+                + "Content-Length: " + body.length() + "\r\n\r\n" + body;
+        try (var socket = new Socket("127.0.0.1", port)) {
+            socket.setSoTimeout(5000);
+            socket.getOutputStream().write((request.formatted("a") + request.formatted("b")).getBytes());
+            var in = new BufferedReader(new InputStreamReader(socket.getInputStream()));
+            String line;
+            do {
+                line = in.readLine();
+            } while (!line.startsWith("Retry-After"));
+            assertEquals(line, "Retry-After: 0.5");
+        }
+    }
+
     @Test
     public void gathererThatEndsAnswersWhatItHasTaken() throws Exception {
         var taken = new CompletableFuture<Void>();
--- a/src/test/java/sprucehold/picker/PickerTest.java
+++ b/src/test/java/sprucehold/picker/PickerTest.java
@@ -208,6 +208,20 @@
         assertTrue(dispatch.patienceOver);
     }
 
+    @Test
+    public void booksAreEmptyOnceAllHasEnded() {
+        for (int i = 0; i < 100; i++) {
+            script.add(List.of(send("s.0"), send("s.1"), send("s.0")));
+            List<Dispatch> out = picker.pick(i, scan("s", null, 2)).send();
+            ended(i, out.get(0), new Outcome.Lost(Progress.WRITTEN));
+            script.add(List.of(new Action.Answer("s", true), new Action.Cancel("s.0", 1)));
+            ended(i, out.get(1), HIT);
+            ended(i, out.get(2), new Outcome.CalledOff(Progress.WRITTEN));
+        }
+        picker.tick(1000);
+        assertEquals(picker.held(), 0);
+    }
+
     @Test
     public void nextTickIsTheEarliestOfWakingPatienceAndTheScansEnd() {
         script.add(List.of(send("s.0"), new Action.Wake(50), new Action.Wake(90)));
