Tell a frame cut off before its last byte from one written, also after the close

Seen: in a fresh clone the row frameCutOffBeforeItsLastByteProvesThatNothingRan found WRITTEN for PARTLY_WRITTEN. The reset may be read before the pending write fails, and ShardLink.close took all that was on the connection as written: safe, but a non-replayable part that never ran was then lost for good. The outcome now waits for the write itself (ShardLink.lost), which Vert.x settles at the close. Ruled out: that the write had succeeded; 8 MB were never read.

--- a/src/main/java/sprucehold/shards/ShardLink.java
+++ b/src/main/java/sprucehold/shards/ShardLink.java
@@ -34,7 +34,16 @@
         void closed(ShardLink link, boolean neverUp, String why);
     }
 
-    private record Flight(Dispatch dispatch, double writtenAt) {
+    private static final class Flight {
+        final Dispatch dispatch;
+        final double writtenAt;
+        /** Succeeds once the last byte of its frame is handed over; fails if that never came to be. */
+        Future<Void> write;
+
+        Flight(Dispatch dispatch, double writtenAt) {
+            this.dispatch = dispatch;
+            this.writtenAt = writtenAt;
+        }
     }
 
     private final Owner owner;
@@ -132,17 +141,25 @@
             return;
         }
         double now = owner.now();
-        call.forEach(dispatch -> flights.put(dispatch.partId(), new Flight(dispatch, now)));
-        socket.write(GathererFrame.call(call)).onFailure(failure -> {
-            // The last byte was never handed over, so none of the call has run.
-            for (Dispatch dispatch : call) {
-                Flight flight = flights.get(dispatch.partId());
-                if (flight != null && flight.dispatch == dispatch) {
-                    flights.remove(dispatch.partId());
-                    owner.ended(dispatch, new Outcome.Lost(Progress.PARTLY_WRITTEN));
-                }
+        List<Flight> out = call.stream().map(dispatch -> new Flight(dispatch, now)).toList();
+        out.forEach(flight -> flights.put(flight.dispatch.partId(), flight));
+        Future<Void> write = socket.write(GathererFrame.call(call));
+        out.forEach(flight -> flight.write = write);
+        write.onFailure(failure -> out.forEach(flight -> {
+            if (flights.remove(flight.dispatch.partId(), flight)) {
+                owner.ended(flight.dispatch, new Outcome.Lost(Progress.PARTLY_WRITTEN));
             }
-        });
+        }));
+    }
+
+    /** A frame whose last byte was never handed over has not run; that may be known only after the close. */
+    private void lost(Flight flight) {
+        if (flight.write == null) {
+            owner.ended(flight.dispatch, new Outcome.Lost(Progress.WRITTEN));
+            return;
+        }
+        flight.write.onComplete(written -> owner.ended(flight.dispatch, new Outcome.Lost(
+                written.succeeded() ? Progress.WRITTEN : Progress.PARTLY_WRITTEN)));
     }
 
     /** Gives a part up; false if it isn't on this link. */
@@ -239,7 +256,7 @@
         List<Flight> written = List.copyOf(flights.values());
         flights.clear();
         unwritten.forEach(dispatch -> owner.ended(dispatch, new Outcome.Lost(Progress.NOT_WRITTEN)));
-        written.forEach(flight -> owner.ended(flight.dispatch, new Outcome.Lost(Progress.WRITTEN)));
+        written.forEach(this::lost);
         waitingProbes.forEach(probe -> owner.probeEnded(this, new Outcome.Lost(Progress.NOT_WRITTEN), 0));
         probes.forEach(at -> owner.probeEnded(this, new Outcome.Lost(Progress.WRITTEN), owner.now() - at));
     }
