Count a client's time from when its request began to come in

Seen: by hand, on one core, against shard servers that take parts and answer none: the first scan after a start, with 500 ms, was throttled after 768 ms, later ones after 493. Until it is decoded and picked (ClientServer.route, ScanReader.read) a first request waits for classes to be set up, and its whole time was given to the decisions only then; at a query timeout of a restart that is a lost scan. With GET /up asked before, as the front does, the same scan took 501 ms: most of it is the HTTP server's own first use.

Now what went by since the request began to come in is taken off.

Tried and left out: playing 3, 10 or 50 scans of each table type through decisions of their own before listening.

--- a/src/main/java/sprucehold/clients/ClientServer.java
+++ b/src/main/java/sprucehold/clients/ClientServer.java
@@ -14,6 +14,7 @@
 import java.util.IdentityHashMap;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.DoubleSupplier;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import sprucehold.picker.Answer;
@@ -29,13 +30,15 @@
     private final HttpServer server;
     private final Desk desk;
     private final ScanReader reader;
+    private final DoubleSupplier clock;
     private final Map<Scan, HttpServerRequest> open = new IdentityHashMap<>();
     /** Each connection and how many requests it has under way. */
     private final Map<HttpConnection, Integer> connections = new HashMap<>();
     private boolean draining;
 
-    public ClientServer(Vertx vertx, int segments, Desk desk) {
+    public ClientServer(Vertx vertx, int segments, Desk desk, DoubleSupplier clock) {
         this.desk = desk;
+        this.clock = clock;
         this.reader = new ScanReader(segments);
         this.server = vertx.createHttpServer(new HttpServerOptions().setTcpNoDelay(true)
                 .setIdleTimeout(IDLE_SECONDS).setHandle100ContinueAutomatically(true));
@@ -54,6 +57,7 @@
 
     private void requested(HttpServerRequest request) {
         connections.computeIfPresent(request.connection(), (connection, requests) -> requests + 1);
+        double cameAt = clock.getAsDouble();
         var body = Buffer.buffer();
         request.handler(bytes -> {
             if (body.length() <= LONGEST_BODY) {
@@ -62,7 +66,7 @@
         });
         request.endHandler(none -> {
             try {
-                route(request, body);
+                route(request, body, cameAt);
             } catch (RuntimeException e) {
                 LOG.log(Level.SEVERE, "panic: a request failed and its connection is closed", e);
                 request.connection().close();
@@ -70,40 +74,40 @@
         });
     }
 
-    private void route(HttpServerRequest request, Buffer body) {
+    private void route(HttpServerRequest request, Buffer body, double cameAt) {
         String path = request.path() == null ? "" : request.path();
         if (path.equals("/up")) {
             if (request.method() != HttpMethod.GET && request.method() != HttpMethod.HEAD) {
-                refuse(request, 405, "GET only", "GET, HEAD");
+                reject(request, 405, "GET only", "GET, HEAD");
             } else if (desk.ready()) {
-                refuse(request, 200, "up", null);
+                reject(request, 200, "up", null);
             } else {
-                refuse(request, 503, draining ? "ending" : "no list yet", null);
+                reject(request, 503, draining ? "ending" : "no list yet", null);
             }
             return;
         }
         String tableType = path.startsWith("/") ? path.substring(1).split("/", 2)[0] : "";
         if (!desk.isTableType(tableType)) {
-            refuse(request, 404, "no such table type", null);
+            reject(request, 404, "no such table type", null);
         } else if (request.method() != HttpMethod.POST) {
-            refuse(request, 405, "POST only", "POST");
+            reject(request, 405, "POST only", "POST");
         } else if (body.length() > LONGEST_BODY) {
-            refuse(request, 413, "a body holds at most 64 KiB", null);
+            reject(request, 413, "a body holds at most 64 KiB", null);
         } else {
-            take(request, tableType, body);
+            take(request, tableType, body, cameAt);
         }
     }
 
-    private void take(HttpServerRequest request, String tableType, Buffer body) {
+    private void take(HttpServerRequest request, String tableType, Buffer body, double cameAt) {
         Scan scan;
         try {
-            scan = reader.read(tableType, request.headers(), body.getBytes());
+            scan = reader.read(tableType, request.headers(), body.getBytes(), clock.getAsDouble() - cameAt);
         } catch (ScanReader.MalformedException e) {
-            refuse(request, 400, e.getMessage(), null);
+            reject(request, 400, e.getMessage(), null);
             return;
         }
         if (desk.isOpen(scan)) {
-            refuse(request, 400, "a scan of this id is open", null);
+            reject(request, 400, "a scan of this id is open", null);
             return;
         }
         open.put(scan, request);
@@ -135,7 +139,7 @@
         }
     }
 
-    private void refuse(HttpServerRequest request, int status, String reason, String allow) {
+    private void reject(HttpServerRequest request, int status, String reason, String allow) {
         if (allow != null) {
             request.response().putHeader("Allow", allow);
         }
--- a/src/main/java/sprucehold/clients/ScanReader.java
+++ b/src/main/java/sprucehold/clients/ScanReader.java
@@ -29,7 +29,8 @@
         this.segments = segments;
     }
 
-    Scan read(String tableType, MultiMap headers, byte[] body) throws MalformedException {
+    /** {@code spentMs} is how much of the client's time went by since the request began to come in. */
+    Scan read(String tableType, MultiMap headers, byte[] body, double spentMs) throws MalformedException {
         String id = headers.get("X-Request-Id");
         if (id == null || !id.matches("[!-~]{1,128}")) {
             throw new MalformedException("X-Request-Id must be 1 to 128 visible characters");
@@ -72,7 +73,8 @@
             // Shares that were rounded on the way still make a whole.
             parts.add(new Scan.Part(segment, weight / whole));
         }
-        return new Scan(id, tableType, headers.get("X-Tenant"), Double.parseDouble(deadline), parts,
+        return new Scan(id, tableType, headers.get("X-Tenant"),
+                Math.max(0, Double.parseDouble(deadline) - spentMs), parts,
                 node.get("body").textValue().getBytes(StandardCharsets.UTF_8));
     }
 }
--- a/src/main/java/sprucehold/node/Node.java
+++ b/src/main/java/sprucehold/node/Node.java
@@ -58,7 +58,7 @@
                 seat.facts().loadByProbe(), clock::now, this::report);
         this.watch = new Watch(vertx, seat.discovery().host(), seat.discovery().port(), deployment.layout().cells(),
                 deployment.listAccess().askWithinMs(), clock::now, this::report);
-        this.clients = new ClientServer(vertx, seat.facts().segments(), this);
+        this.clients = new ClientServer(vertx, seat.facts().segments(), this, clock::now);
     }
 
     /** Returns the port on which clients are served. */
