--- a/src/main/java/sprucehold/shards/ShardLink.java
+++ b/src/main/java/sprucehold/shards/ShardLink.java
@@ -1,7 +1,6 @@
 package sprucehold.shards;
 
 import io.vertx.core.Future;
-import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetSocket;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
--- a/src/main/java/sprucehold/standin/StandInShardServer.java
+++ b/src/main/java/sprucehold/standin/StandInShardServer.java
@@ -1,6 +1,7 @@
 package sprucehold.standin;
 
 import io.vertx.core.Future;
+import io.vertx.core.Handler;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetServer;
@@ -22,7 +23,7 @@
 
     private void serve(NetSocket socket) {
         RecordParser parser = RecordParser.newFixed(4);
-        parser.handler(new io.vertx.core.Handler<>() {
+        parser.handler(new Handler<>() {
             private boolean inFrame;
 
             @Override
