Turn away who still comes after the end's lingering, so that the end comes

Scans that come later are now throttled at the door (Node.take). Test: the row fails without it (502 from the held decisions for 503).

--- a/src/main/java/sprucehold/node/Node.java
+++ b/src/main/java/sprucehold/node/Node.java
@@ -14,6 +14,7 @@
 import sprucehold.clients.ClientServer;
 import sprucehold.clients.Desk;
 import sprucehold.discovery.Watch;
+import sprucehold.picker.Answer;
 import sprucehold.picker.Orders;
 import sprucehold.picker.Picker;
 import sprucehold.picker.Report;
@@ -44,6 +45,8 @@
     private boolean carrying;
     private boolean hasList;
     private boolean ending;
+    /** Nobody should come any more: who still does is turned away, so that the end comes. */
+    private boolean closed;
     private long timer = -1;
     private double timerAt = Double.POSITIVE_INFINITY;
     private long scansTaken;
@@ -92,6 +95,10 @@
     @Override
     public void take(Scan scan) {
         scansTaken++;
+        if (closed) {
+            clients.answer(scan, new Answer.Throttled(0));
+            return;
+        }
         run(() -> picker.pick(clock.now(), scan));
     }
 
@@ -173,6 +180,7 @@
         ending = true;
         clients.drain();
         return vertx.timer(lingerMs).compose(lingered -> {
+            closed = true;
             clients.closeIdle();
             return answered();
         }).compose(done -> clients.close()).map(closed -> {
--- a/src/test/java/sprucehold/node/NodeTest.java
+++ b/src/test/java/sprucehold/node/NodeTest.java
@@ -153,35 +153,44 @@
         }
     }
 
+    private Future<Integer> ask(String id) {
+        return vertx.createHttpClient().request(HttpMethod.POST, port, "127.0.0.1", "/q")
+                .compose(request -> request.putHeader("X-Request-Id", id).putHeader("X-Class", "q")
+                        .putHeader("X-Deadline-Ms", "9000")
+                        .send(Buffer.buffer("{\"buckets\":[{\"bucket\":0,\"part\":1}],\"body\":\"\"}")))
+                .map(response -> response.statusCode());
+    }
+
     @Test
-    public void gathererThatEndsAnswersWhatItHasTaken() throws Exception {
+    public void gathererThatEndsAnswersWhatItHasTakenAndTurnsAwayWhoComesTooLate() throws Exception {
         var taken = new CompletableFuture<Void>();
-        var woken = new CompletableFuture<Void>();
-        // Nothing is decided until the decisions are woken, which is after the end has begun.
+        var late = new CompletableFuture<Integer>();
+        // The first scan is held until the late one has its answer; the late one isn't asked about.
         Gatherer.Factory factory = (seed, facts) -> (now, events) -> {
-            if (events.stream().anyMatch(Event.ScanTaken.class::isInstance)) {
-                taken.complete(null);
-                return List.of(new Action.Wake(200));
-            }
-            if (events.contains(new Event.Woken()) && taken.isDone()) {
-                woken.complete(null);
-                return List.of(new Action.Throttle("s", 250));
+            for (Event event : events) {
+                if (event instanceof Event.ScanTaken scan) {
+                    assertEquals(scan.id(), "s");
+                    taken.complete(null);
+                }
             }
-            return List.of();
+            return !taken.isDone() ? List.of()
+                    : List.of(late.isDone() ? new Action.Abandon("s") : new Action.Wake(10));
         };
         Node node = node(factory, PLACE, SETTINGS, KNOWN);
         assertTrue(node.ready());
-        Future<Integer> status = vertx.createHttpClient().request(HttpMethod.POST, port, "127.0.0.1", "/q")
-                .compose(request -> request.putHeader("X-Request-Id", "s").putHeader("X-Class", "q")
-                        .putHeader("X-Deadline-Ms", "9000")
-                        .send(Buffer.buffer("{\"buckets\":[{\"bucket\":0,\"part\":1}],\"body\":\"\"}")))
-                .map(response -> response.statusCode());
+        Future<Integer> status = ask("s");
         taken.get(10, TimeUnit.SECONDS);
+        var lingered = new CompletableFuture<Void>();
         var ended = new CompletableFuture<Void>();
-        vertx.runOnContext(none -> node.end(1).onComplete(ended::complete, ended::completeExceptionally));
-        ended.get(10, TimeUnit.SECONDS);
-        assertTrue(woken.isDone());
+        vertx.runOnContext(none -> {
+            node.end(1).onComplete(ended::complete, ended::completeExceptionally);
+            vertx.setTimer(2, timer -> lingered.complete(null));
+        });
+        lingered.get(10, TimeUnit.SECONDS);
         assertFalse(node.ready());
-        assertEquals((int) await(status), 503);
+        late.complete(await(ask("late")));
+        ended.get(10, TimeUnit.SECONDS);
+        assertEquals((int) late.get(), 503);
+        assertEquals((int) await(status), 502);
     }
 }
