One odd entry of the list gets nothing and hides no other

Read through: an entry of unknown status, or one whose cell or address can't be used, made the whole answer malformed (ListNews.server), and since it would come again with the next answer, the list would have stood still for good. Such a server is now taken as gone, with a line in the log, and the others are used. An entry without a name still spoils the answer.

Could do harm where a server that is fine gets an entry that only we can't read: it then gets nothing until the entry is mended.

--- a/src/main/java/sprucehold/discovery/ListNews.java
+++ b/src/main/java/sprucehold/discovery/ListNews.java
@@ -7,6 +7,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.logging.Logger;
 import sprucehold.picker.ServerNews;
 
 /**
@@ -16,6 +17,7 @@
  * @param complete whether it is the whole list
  */
 public record ListNews(long index, boolean complete, List<ServerNews> servers) {
+    private static final Logger LOG = Logger.getLogger(ListNews.class.getName());
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
     /** The answer doesn't tell what it has to. */
@@ -53,18 +55,21 @@
         if (name.isEmpty()) {
             throw new MalformedException("an endpoint without a name");
         }
+        int cell = endpoint.path("group").asInt(-1);
+        String address = endpoint.path("address").asText();
         ServerNews.State state = switch (endpoint.path("status").asText()) {
             case "active" -> ServerNews.State.RUNNING;
             case "leaving" -> ServerNews.State.DRAINING;
             case "left" -> ServerNews.State.GONE;
-            default -> throw new MalformedException("an endpoint of unknown status");
+            default -> null;
         };
-        int cell = endpoint.path("group").asInt(-1);
-        String address = endpoint.path("address").asText();
-        if (state != ServerNews.State.GONE && (cell < 0 || cell >= cells || !isAddress(address))) {
-            throw new MalformedException("an endpoint without a group or an address of numbers");
+        boolean placed = cell >= 0 && cell < cells && isAddress(address);
+        if (state == null || state != ServerNews.State.GONE && !placed) {
+            // One odd entry mustn't hide the others, and where it isn't understood nothing is sent.
+            LOG.warning("the list tells of shard server " + name + " what can't be used; it gets nothing");
+            state = ServerNews.State.GONE;
         }
-        return new ServerNews(name, address, Math.max(0, Math.min(cells - 1, cell)), endpoint.path("zone").asText(),
+        return new ServerNews(name, address, placed ? cell : 0, endpoint.path("zone").asText(),
                 endpoint.path("since_ms").doubleValue(), state);
     }
 
