--- a/src/test/java/sprucehold/shards/ShardServersTest.java
+++ b/src/test/java/sprucehold/shards/ShardServersTest.java
@@ -44,6 +44,7 @@
     private Picker picker;
     private NetServer server;
     private volatile double now;
+    private volatile boolean panics;
     private BlockingQueue<Report> reports;
     private BlockingQueue<String> heard;
     private Context loop;
@@ -55,6 +56,7 @@
         reports = new LinkedBlockingQueue<>();
         heard = new LinkedBlockingQueue<>();
         now = 0;
+        panics = false;
     }
 
     @AfterMethod
@@ -75,7 +77,7 @@
         int port = server.listen(0, "127.0.0.1").toCompletionStage().toCompletableFuture().get(5, TimeUnit.SECONDS)
                 .actualPort();
         shards = onLoop(() -> new ShardServers(vertx, new Connections(5000, 15_000, parts), callParts, false, () -> now,
-                reports::add));
+                this::reported));
         var type = new TableType("q", TableType.Repeat.REPLAYABLE, 100, 1, 0, 0, 1, 1, 0);
         picker = new Picker((time, events) -> events.stream().filter(Event.PartTaken.class::isInstance)
                 .map(event -> (Action) new Action.Dispatch(((Event.PartTaken) event).id(), "a", 240.9)).toList(),
@@ -85,6 +87,14 @@
         list(ServerNews.State.RUNNING, port);
     }
 
+    private void reported(Report report) {
+        if (panics) {
+            panics = false;
+            throw new IllegalStateException("scripted");
+        }
+        reports.add(report);
+    }
+
     private void list(ServerNews.State state, int port) {
         picker.report(0, List.of(new Report.ListCame(false,
                 List.of(new ServerNews("a", "127.0.0.1:" + port, 0, "z", 0, state)))));
@@ -153,6 +163,20 @@
                 Buffer.buffer().appendIntLE(call.length()).appendString(call).toString());
     }
 
+    @Test
+    public void panicClosesItsConnectionAndAllThatIsOutOnItIsLost() throws Exception {
+        start(32, 1, (socket, bytes) -> {
+            if (bytes.contains("As.1")) {
+                answer(socket, "Es.0 hit 5 -\nvalue");
+            }
+        });
+        List<Dispatch> sent = dispatches("s", 2, "text");
+        panics = true;
+        send(sent);
+        assertEquals(outcome(sent.get(1)), new Outcome.Lost(Progress.WRITTEN));
+        assertEquals((int) onLoop(() -> shards.links()), 0);
+    }
+
     @Test
     public void refusedConnectionProvesThatNothingRan() throws Exception {
         start(32, 1, (socket, bytes) -> { });
