Take SIGHUP over, bound client connections, forget servers that are gone

At fault: ClientServer closed a connection only after 120 s of idling and held any number; the JVM ends on SIGHUP, which nothing took over. Links of servers off the list stayed until idle, and ShardServers.peers and Picker.servers kept every server ever listed. Raw bytes by hand: Netty drops the length where both headers stand, so the check is in the decoder, where a request with two Transfer-Encoding headers was found to pass as chunked as well. HttpConnection.close() waits behind pipelined requests, so connections are closed by their channel. The write test that depends on socket buffers failed once with 8 MB; 64 MB lies above what both ends hold.

--- a/src/main/java/sprucehold/Main.java
+++ b/src/main/java/sprucehold/Main.java
@@ -73,6 +73,11 @@
         Seat seat() throws IOException {
             return Seat.read(config, name, listen, discovery);
         }
+
+        /** What the file says by now; where discovery is, it alone can tell. */
+        Seat reread() throws IOException {
+            return Seat.read(config, name, listen, null);
+        }
     }
 
     @Command(name = "serve", description = "Runs one gatherer on sockets.", mixinStandardHelpOptions = true)
@@ -82,7 +87,7 @@
 
         @Override
         public Integer call() throws IOException, Service.StartFailedException {
-            Service.start(place.seat(), Brain::new);
+            Service.start(place.seat(), Brain::new, place::reread);
             return CommandLine.ExitCode.OK;
         }
     }
--- a/src/main/java/sprucehold/clients/ClientServer.java
+++ b/src/main/java/sprucehold/clients/ClientServer.java
@@ -1,19 +1,21 @@
 package sprucehold.clients;
 
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpConnection;
+import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
-import java.util.HashMap;
-import java.util.HashSet;
+import io.vertx.core.http.impl.HttpServerConnection;
 import java.util.IdentityHashMap;
+import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.DoubleSupplier;
 import java.util.logging.Level;
 import java.util.logging.Logger;
@@ -24,31 +26,39 @@
 public final class ClientServer {
     private static final Logger LOG = Logger.getLogger(ClientServer.class.getName());
     private static final int LONGEST_BODY = 64 * 1024;
-    /** Clients on a machine that vanished say nothing; their connections mustn't hold descriptors for good. */
-    private static final int IDLE_SECONDS = 120;
+    private static final String TOO_LONG = "a body holds at most 64 KiB";
+    /** How often connections are looked after; with it, who says nothing is closed well inside 3 s. */
+    private static final int SWEEP_MS = 250;
 
     private final HttpServer server;
     private final Desk desk;
     private final ScanReader reader;
     private final DoubleSupplier clock;
     private final Map<Scan, HttpServerRequest> open = new IdentityHashMap<>();
-    /** Each connection and how many requests it has under way. */
-    private final Map<HttpConnection, Integer> connections = new HashMap<>();
+    private final ClientConnections connections;
+    /** Answers that aren't written out. */
+    private int writing;
     private boolean draining;
 
-    public ClientServer(Vertx vertx, int segments, Desk desk, DoubleSupplier clock) {
+    /** {@code most} is how many connections clients may hold. */
+    public ClientServer(Vertx vertx, int segments, int most, Desk desk, DoubleSupplier clock) {
         this.desk = desk;
         this.clock = clock;
         this.reader = new ScanReader(segments);
-        this.server = vertx.createHttpServer(new HttpServerOptions().setTcpNoDelay(true)
-                .setIdleTimeout(IDLE_SECONDS).setHandle100ContinueAutomatically(true));
+        this.connections = new ClientConnections(most, clock);
+        var options = new HttpServerOptions().setTcpNoDelay(true).setHandle100ContinueAutomatically(true)
+                .setHttp2ClearTextEnabled(false);
+        this.server = vertx.createHttpServer(options);
         server.connectionHandler(connection -> {
-            connections.put(connection, 0);
-            connection.closeHandler(none -> connections.remove(connection));
             connection.exceptionHandler(failure -> LOG.log(Level.FINE, "client connection", failure));
+            ((HttpServerConnection) connection).channelHandlerContext().pipeline()
+                    .replace("httpDecoder", "httpDecoder", new StrictDecoder(options));
+            connections.opened(connection);
         });
         server.exceptionHandler(failure -> LOG.log(Level.FINE, "client connection", failure));
         server.requestHandler(this::requested);
+        server.invalidRequestHandler(this::unreadable);
+        vertx.setPeriodic(SWEEP_MS, timer -> connections.sweep());
     }
 
     public Future<HttpServer> listen(String host, int port) {
@@ -56,20 +66,38 @@
     }
 
     private void requested(HttpServerRequest request) {
-        connections.computeIfPresent(request.connection(), (connection, requests) -> requests + 1);
+        if (!connections.begun(request.connection())) {
+            return;
+        }
+        List<String> encodings = request.headers().getAll(HttpHeaders.TRANSFER_ENCODING);
+        String length = request.getHeader(HttpHeaders.CONTENT_LENGTH);
+        if (!encodings.isEmpty() && (encodings.size() > 1 || !encodings.get(0).equalsIgnoreCase("chunked"))) {
+            // Where its body ends can't be told.
+            last(request, 501, "the only Transfer-Encoding is chunked");
+            return;
+        } else if (length != null && (length.length() > 9 || Integer.parseInt(length) > LONGEST_BODY)) {
+            last(request, 413, TOO_LONG);
+            return;
+        }
         double cameAt = clock.getAsDouble();
         var body = Buffer.buffer();
         request.handler(bytes -> {
-            if (body.length() <= LONGEST_BODY) {
+            if (body.length() + bytes.length() > LONGEST_BODY) {
+                last(request, 413, TOO_LONG);
+            } else {
                 body.appendBuffer(bytes);
             }
         });
         request.endHandler(none -> {
+            if (request.response().ended()) {
+                return;
+            }
+            connections.busy(request.connection());
             try {
                 route(request, body, cameAt);
             } catch (RuntimeException e) {
                 LOG.log(Level.SEVERE, "panic: a request failed and its connection is closed", e);
-                request.connection().close();
+                connections.drop(request.connection());
             }
         });
     }
@@ -91,8 +119,6 @@
             reject(request, 404, "no such table type", null);
         } else if (request.method() != HttpMethod.POST) {
             reject(request, 405, "POST only", "POST");
-        } else if (body.length() > LONGEST_BODY) {
-            reject(request, 413, "a body holds at most 64 KiB", null);
         } else {
             take(request, tableType, body, cameAt);
         }
@@ -139,6 +165,23 @@
         }
     }
 
+    /** What can't be read as a request; nobody knows where a next one would begin. */
+    private void unreadable(HttpServerRequest request) {
+        if (connections.begun(request.connection())) {
+            Throwable why = request.decoderResult().cause();
+            last(request, why instanceof TooLongHttpLineException ? 414 : why instanceof TooLongHttpHeaderException
+                    ? 431 : 400, "not a request that can be read");
+        }
+    }
+
+    /** Rejects a request of which more may come, and all else on its connection. */
+    private void last(HttpServerRequest request, int status, String reason) {
+        if (!request.response().ended()) {
+            connections.closing(request.connection());
+            end(request, status, Buffer.buffer(reason + "\n"), true);
+        }
+    }
+
     private void reject(HttpServerRequest request, int status, String reason, String allow) {
         if (allow != null) {
             request.response().putHeader("Allow", allow);
@@ -147,17 +190,26 @@
     }
 
     private void end(HttpServerRequest request, int status, Buffer body) {
+        end(request, status, body, draining || connections.crowded());
+    }
+
+    private void end(HttpServerRequest request, int status, Buffer body, boolean close) {
         HttpServerResponse response = request.response();
         if (response.ended() || response.closed()) {
             return;
         }
-        if (draining) {
+        HttpConnection connection = request.connection();
+        if (close) {
             response.putHeader("Connection", "close");
+            connections.closing(connection);
         }
+        writing++;
         response.setStatusCode(status).end(body).onComplete(done -> {
-            connections.computeIfPresent(request.connection(), (connection, requests) -> requests - 1);
-            if (draining) {
-                request.connection().close();
+            writing--;
+            if (close) {
+                connections.drop(connection);
+            } else {
+                connections.answered(connection);
             }
         });
     }
@@ -169,13 +221,7 @@
 
     /** Closes connections that have no request under way. */
     public void closeIdle() {
-        Set<HttpConnection> idle = new HashSet<>();
-        connections.forEach((connection, requests) -> {
-            if (requests == 0) {
-                idle.add(connection);
-            }
-        });
-        idle.forEach(HttpConnection::close);
+        connections.closeKept();
     }
 
     public int connections() {
@@ -184,7 +230,7 @@
 
     /** Requests that have no answer yet, or one that isn't written out. */
     public int underWay() {
-        return connections.values().stream().mapToInt(Integer::intValue).sum();
+        return open.size() + writing;
     }
 
     /** Ends the listener and all connections. */
--- a/src/main/java/sprucehold/discovery/Watch.java
+++ b/src/main/java/sprucehold/discovery/Watch.java
@@ -28,14 +28,16 @@
     private static final int PAUSE_MS = 50;
 
     private final Vertx vertx;
-    private final HttpClient client;
-    private final String host;
-    private final int port;
     private final int cells;
     private final long askWithinMs;
     private final DoubleSupplier clock;
     private final Consumer<Report> reports;
+    private HttpClient client;
+    private String host;
+    private int port;
     private long index = -1;
+    /** Counts the addresses: what a call to an earlier one brings is not heard. */
+    private int moves;
     private boolean calling;
     private boolean lost;
     private boolean stopped;
@@ -44,19 +46,40 @@
     public Watch(Vertx vertx, String host, int port, int cells, double askWithinMs, DoubleSupplier clock,
             Consumer<Report> reports) {
         this.vertx = vertx;
-        this.host = host;
-        this.port = port;
         this.cells = cells;
         this.askWithinMs = Math.max(1000, (long) askWithinMs);
         this.clock = clock;
         this.reports = reports;
-        this.client = vertx.httpClientBuilder().with(new HttpClientOptions().setConnectTimeout(WAY_MS))
+        address(host, port);
+    }
+
+    private void address(String newHost, int newPort) {
+        host = newHost;
+        port = newPort;
+        client = vertx.httpClientBuilder().with(new HttpClientOptions().setConnectTimeout(WAY_MS))
                 .with(new PoolOptions().setHttp1MaxSize(1))
                 .withConnectHandler(connection -> connection.exceptionHandler(
                         failure -> LOG.log(Level.FINE, "connection to discovery", failure)))
                 .build();
     }
 
+    /**
+     * Follows the list at another address from now on. The whole list is asked for there at once: what the old
+     * address had still to tell is in it, and versions of the two need not go together.
+     */
+    public void move(String newHost, int newPort) {
+        if (stopped || host.equals(newHost) && port == newPort) {
+            return;
+        }
+        LOG.info("discovery is now at " + newHost + ":" + newPort);
+        moves++;
+        calling = false;
+        index = -1;
+        client.close();
+        address(newHost, newPort);
+        ask();
+    }
+
     /** Begins after a version that is known, or with the whole list if none is (below 0). */
     public void start(long knownIndex) {
         index = knownIndex;
@@ -73,12 +96,22 @@
         boolean watching = index >= 0;
         String uri = watching ? "/discovery/hosts?after=" + index + "&wait_ms=" + WAIT_MS : "/discovery/hosts";
         double calledAt = clock.getAsDouble();
+        int move = moves;
         client.request(new RequestOptions().setMethod(HttpMethod.GET).setHost(host).setPort(port).setURI(uri)
                         .setIdleTimeout(watching ? WAIT_MS + WAY_MS : 2 * WAY_MS))
                 .compose(request -> request.send()
                         .compose(response -> response.statusCode() == 200 ? response.body()
                                 : Future.failedFuture("status " + response.statusCode())))
-                .onComplete(body -> answered(body, calledAt), failure -> failed(failure.getMessage()));
+                .onComplete(called -> {
+                    if (move != moves) {
+                        return;
+                    }
+                    if (called.succeeded()) {
+                        answered(called.result(), calledAt);
+                    } else {
+                        failed(called.cause().getMessage());
+                    }
+                });
     }
 
     private void answered(Buffer body, double calledAt) {
--- a/src/main/java/sprucehold/node/Node.java
+++ b/src/main/java/sprucehold/node/Node.java
@@ -61,7 +61,7 @@
                 seat.facts().loadByProbe(), clock::now, this::report);
         this.watch = new Watch(vertx, seat.discovery().host(), seat.discovery().port(), deployment.layout().cells(),
                 deployment.listAccess().askWithinMs(), clock::now, this::report);
-        this.clients = new ClientServer(vertx, seat.facts().segments(), this, clock::now);
+        this.clients = new ClientServer(vertx, seat.facts().segments(), seat.sockets() / 2, this, clock::now);
     }
 
     /** Returns the port on which clients are served. */
@@ -171,6 +171,11 @@
         }
     }
 
+    /** Follows the list at the address that the seat names now; nothing else of it is taken while serving. */
+    void reseat(Seat now) {
+        watch.move(now.discovery().host(), now.discovery().port());
+    }
+
     /**
      * Ends the gatherer once all it has taken is answered. Clients still come for a while, so it listens on for
      * {@code lingerMs} and asks those it answers to go elsewhere.
--- a/src/main/java/sprucehold/node/Rehearsal.java
+++ b/src/main/java/sprucehold/node/Rehearsal.java
@@ -33,7 +33,8 @@
                 .compose(discovery -> {
                     // Begun without a list, so that the whole one is asked for.
                     var moved = new Seat(seat.name(), new Seat.Address(HOST, 0),
-                            new Seat.Address(HOST, discovery), seat.seed(), null, seat.facts());
+                            new Seat.Address(HOST, discovery), seat.seed(), seat.sockets(), null,
+                            seat.facts());
                     var node = new Node(vertx, moved, factory);
                     return node.start().compose(port -> whenReady(vertx, node)
                             .compose(ready -> ask(vertx, seat, port, line)))
--- a/src/main/java/sprucehold/node/Seat.java
+++ b/src/main/java/sprucehold/node/Seat.java
@@ -13,9 +13,11 @@
 /**
  * What one gatherer is told at its start.
  *
+ * @param sockets how many descriptors the process may hold
  * @param known the list as it was last held
  */
-public record Seat(String name, Address listen, Address discovery, long seed, ListNews known, Facts facts) {
+public record Seat(String name, Address listen, Address discovery, long seed, int sockets,
+        ListNews known, Facts facts) {
 
     /** Where to listen or call. */
     public record Address(String host, int port) {
@@ -64,7 +66,8 @@
         }
         return new Seat(either(name, node.path("name")),
                 Address.parse(either(listen, node.path("listen")), "listen"),
-                Address.parse(either(discovery, node.path("discovery")), "discovery"), seed, known, facts);
+                Address.parse(either(discovery, node.path("discovery")), "discovery"), seed,
+                node.path("limits").path("sockets").asInt(Integer.MAX_VALUE), known, facts);
     }
 
     private static String either(String given, JsonNode inFile) {
--- a/src/main/java/sprucehold/node/Service.java
+++ b/src/main/java/sprucehold/node/Service.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
+import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -20,8 +21,12 @@
     private Service() {
     }
 
-    /** Serves until the process is ended; returns once it serves. */
-    public static void start(Seat seat, Gatherer.Factory factory) throws StartFailedException {
+    /**
+     * Serves until the process is ended; returns once it serves.
+     *
+     * @param reread reads the configuration anew when SIGHUP asks for it
+     */
+    public static void start(Seat seat, Gatherer.Factory factory, Callable<Seat> reread) throws StartFailedException {
         Vertx vertx = vertx();
         var started = new CompletableFuture<Node>();
         vertx.runOnContext(none -> {
@@ -33,6 +38,7 @@
             }
         });
         Node node = await(started);
+        Signals.onHangUp(() -> reseat(vertx, node, reread));
         Runtime.getRuntime().addShutdownHook(new Thread(() -> end(vertx, node, seat), "end"));
     }
 
@@ -66,6 +72,17 @@
         }
     }
 
+    /** Runs on the signal's own thread; one at a time, so that what was read last counts. */
+    private static synchronized void reseat(Vertx vertx, Node node, Callable<Seat> reread) {
+        LOG.info("SIGHUP: the configuration is read again");
+        try {
+            Seat now = reread.call();
+            vertx.runOnContext(none -> node.reseat(now));
+        } catch (Exception e) {
+            LOG.log(Level.WARNING, "the configuration can't be used and the one held is kept: " + e.getMessage());
+        }
+    }
+
     /** Runs on the hook's own thread, and only waits there for what the event loop does. */
     private static void end(Vertx vertx, Node node, Seat seat) {
         var ended = new CompletableFuture<Void>();
--- a/src/main/java/sprucehold/picker/Picker.java
+++ b/src/main/java/sprucehold/picker/Picker.java
@@ -79,6 +79,10 @@
         return scans.size() + parts.size() + openParts + ends.size() + patience.size() + events.size();
     }
 
+    int serversHeld() {
+        return servers.size();
+    }
+
     /** Takes a scan of a known table type whose id isn't open. It gets exactly one reply, now or later. */
     public Orders pick(double nowMs, Scan scan) {
         now = nowMs;
@@ -237,7 +241,7 @@
         }
         var dispatch = new Dispatch(part, servers.get(wanted.server()), now, wanted.timeoutMs());
         part.dispatches.add(dispatch);
-        if (part.scan.over || wanted.timeoutMs() <= 0) {
+        if (part.scan.over || wanted.timeoutMs() <= 0 || dispatch.server() == null) {
             ended(dispatch, Ending.NEVER_SENT, null);
         } else {
             patience.add(dispatch);
@@ -333,10 +337,20 @@
         if (list.complete()) {
             servers.values().forEach(ShardServer::gone);
         }
+        var held = new HashMap<>(servers);
+        if (list.complete()) {
+            servers.clear();
+        }
         var listings = new ArrayList<Listing>();
         for (ServerNews news : list.servers()) {
-            servers.computeIfAbsent(news.name(), ShardServer::new)
-                    .update(news.address(), news.state() == ServerNews.State.RUNNING);
+            ShardServer server = held.computeIfAbsent(news.name(), ShardServer::new);
+            server.update(news.address(), news.state() == ServerNews.State.RUNNING);
+            // Fleets are replaced by servers of new names for good; parts out keep hold of theirs.
+            if (news.state() == ServerNews.State.GONE) {
+                servers.remove(news.name());
+            } else {
+                servers.put(news.name(), server);
+            }
             Listing.Mode mode = switch (news.state()) {
                 case RUNNING -> Listing.Mode.RUNNING;
                 case DRAINING -> Listing.Mode.DRAINING;
--- a/src/main/java/sprucehold/shards/ShardServers.java
+++ b/src/main/java/sprucehold/shards/ShardServers.java
@@ -109,8 +109,11 @@
     /** Links are closed well before the other side may: two dials' time is left for the way and the sweep. */
     void sweep(double dialMs) {
         for (Peer peer : peers.values()) {
-            List.copyOf(peer.links).forEach(link -> link.sweep(dialMs, limits.idleCloseMs() - 2 * dialMs));
+            // What isn't listed any more gets nothing new, so its links only hold descriptors.
+            double idleMs = peer.server.running() ? limits.idleCloseMs() - 2 * dialMs : 0;
+            List.copyOf(peer.links).forEach(link -> link.sweep(dialMs, idleMs));
         }
+        peers.values().removeIf(peer -> peer.links.isEmpty() && !peer.server.running());
     }
 
     /** Sends dispatches ordered at one moment; those of one scan to one server share calls. */
--- a/src/test/java/sprucehold/clients/ClientServerTest.java
+++ b/src/test/java/sprucehold/clients/ClientServerTest.java
@@ -6,12 +6,16 @@
 
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServer;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.AfterMethod;
@@ -27,10 +31,14 @@
     private static final Answer HIT = new Answer.Completed(true,
             List.of(new Answer.Value(0, "v".getBytes(StandardCharsets.UTF_8))));
 
+    /** How many connections clients may hold. */
+    private static final int MOST = 6;
+
     private Vertx vertx;
     private ClientServer server;
     private int port;
     private volatile boolean ready;
+    private volatile double now;
     private volatile Answer atOnce;
     private BlockingQueue<Scan> taken;
     private BlockingQueue<Scan> left;
@@ -38,11 +46,12 @@
     @BeforeMethod
     public void start() throws Exception {
         ready = true;
+        now = 0;
         atOnce = null;
         taken = new LinkedBlockingQueue<>();
         left = new LinkedBlockingQueue<>();
         vertx = Vertx.vertx();
-        server = new ClientServer(vertx, 10, new Desk() {
+        var desk = new Desk() {
             @Override
             public boolean ready() {
                 return ready;
@@ -73,10 +82,13 @@
             public void left(Scan scan) {
                 left.add(scan);
             }
-        }, () -> 0);
-        HttpServer listening = server.listen("127.0.0.1", 0).toCompletionStage().toCompletableFuture()
-                .get(5, TimeUnit.SECONDS);
-        port = listening.actualPort();
+        };
+        var listening = new CompletableFuture<HttpServer>();
+        vertx.runOnContext(none -> {
+            server = new ClientServer(vertx, 10, MOST, desk, () -> now);
+            server.listen("127.0.0.1", 0).onComplete(listening::complete, listening::completeExceptionally);
+        });
+        port = listening.get(5, TimeUnit.SECONDS).actualPort();
     }
 
     @AfterMethod
@@ -113,6 +125,13 @@
         return text + new String(in.readNBytes(length), StandardCharsets.UTF_8);
     }
 
+    /** Waits until the server holds so many connections. */
+    private void accepted(int connections) throws Exception {
+        while (server.connections() != connections) {
+            Thread.sleep(1);
+        }
+    }
+
     private void answer(Scan scan, Answer answer) {
         vertx.runOnContext(none -> server.answer(scan, answer));
     }
@@ -138,6 +157,125 @@
         }
     }
 
+    private static String framed(String headers, String rest) {
+        return "POST /q HTTP/1.1\r\nHost: h\r\nX-Request-Id: s\r\nX-Class: q\r\nX-Deadline-Ms: 480\r\n" + headers
+                + "\r\n\r\n" + rest;
+    }
+
+    @DataProvider
+    Object[][] unreadable() {
+        String chunks = Integer.toHexString(BODY.length()) + "\r\n" + BODY + "\r\n0\r\n\r\n";
+        String length = "Content-Length: " + BODY.length();
+        return new Object[][] {
+            {framed("Transfer-Encoding: chunked\r\n" + length, chunks), 400},
+            {framed(length + "\r\nTransfer-Encoding: chunked", chunks), 400},
+            {framed("Transfer-Encoding: chunked\r\nContent-Length: 0", chunks), 400},
+            {framed("Transfer-Encoding: gzip", ""), 501}, {framed("Transfer-Encoding: gzip, chunked", chunks), 501},
+            {framed("Transfer-Encoding: chunked\r\nTransfer-Encoding: identity", chunks), 501},
+            {framed(length + "\r\nContent-Length: 0", BODY), 400}, {framed("Content-Length: +" + BODY.length(), BODY), 400},
+            {framed("Content-Length: -1", BODY), 400}, {framed("Content-Length: 0x10", BODY), 400},
+            {framed("Content-Length: 9999999999999999999", BODY), 400}, {framed("Content-Length: 3000000000", BODY), 413},
+            {framed("Content-Length: 62914560", " "), 413}, {framed("Transfer-Encoding: chunked", "zz\r\n" + BODY), 400},
+            {framed("Transfer-Encoding: chunked", "10001\r\n" + " ".repeat(0x10001) + "\r\n"), 413},
+            {framed("X-Long: " + "x".repeat(10_000), ""), 431}, {"POST /" + "q".repeat(5000) + " HTTP/1.1\r\n\r\n", 414},
+            {framed("no header", ""), 400}, {"\u0000\u0001 nothing\r\n\r\n", 400},
+        };
+    }
+
+    @Test(dataProvider = "unreadable")
+    public void whatCantBeReadIsTheLastOfItsConnection(String request, int status) throws Exception {
+        try (Socket socket = connect(request + post("/q", "hidden", BODY))) {
+            // Of what is closed with bytes unread the other side may see the close alone.
+            String response = rest(socket);
+            assertTrue(response.isEmpty() || response.matches("(?s)HTTP/1.[01] " + status + " .*"), response);
+            assertEquals(response.split("HTTP/1", -1).length <= 2, true, response);
+            assertTrue(taken.isEmpty(), String.valueOf(taken));
+        }
+    }
+
+    /** What comes until the other side closes. */
+    private static String rest(Socket socket) throws IOException {
+        var bytes = new ByteArrayOutputStream();
+        try {
+            socket.getInputStream().transferTo(bytes);
+        } catch (SocketException e) {
+            // Closed with bytes of ours unread.
+        }
+        return bytes.toString(StandardCharsets.UTF_8);
+    }
+
+    @DataProvider
+    Object[][] unfinished() {
+        return new Object[][] {{""}, {"POST /q HT"}, {framed("Content-Length: 9", "{")},
+            {framed("Transfer-Encoding: chunked", "5\r\n{")}};
+    }
+
+    @Test(dataProvider = "unfinished")
+    public void requestThatDoesntComeInTimeClosesItsConnectionAlone(String bytes) throws Exception {
+        try (Socket other = connect(post("/q", "s", BODY)); Socket socket = connect(bytes)) {
+            Scan scan = taken.poll(5, TimeUnit.SECONDS);
+            accepted(2);
+            now = 2400;
+            answer(scan, HIT);
+            assertTrue(response(other).startsWith("HTTP/1.1 200 "));
+            now = 2501;
+            assertEquals(rest(socket), "");
+            atOnce = HIT;
+            other.getOutputStream().write(post("/q", "t", BODY).getBytes(StandardCharsets.UTF_8));
+            assertTrue(response(other).startsWith("HTTP/1.1 200 "));
+        }
+    }
+
+    @Test
+    public void silentConnectionsGiveWayToNewOnesAndScansThatAreOpenStay() throws Exception {
+        var sockets = new ArrayList<Socket>();
+        try (Socket busy = connect(post("/q", "s", BODY))) {
+            Scan scan = taken.poll(5, TimeUnit.SECONDS);
+            for (int i = 0; i < 2 * MOST; i++) {
+                sockets.add(connect(""));
+            }
+            assertEquals(rest(sockets.get(0)), "");
+            sockets.add(connect(post("/q", "t", BODY)));
+            assertEquals(taken.poll(5, TimeUnit.SECONDS).id(), "t");
+            answer(scan, HIT);
+            String response = response(busy);
+            assertTrue(response.startsWith("HTTP/1.1 200 "), response);
+            assertTrue(response.contains("Connection: close"), response);
+            assertEquals(rest(busy), "");
+        } finally {
+            for (Socket socket : sockets) {
+                socket.close();
+            }
+        }
+    }
+
+    @DataProvider
+    Object[][] kept() {
+        return new Object[][] {{MOST / 2, 19_900, 20_001}, {MOST / 2 + 1, 1900, 2001}};
+    }
+
+    @Test(dataProvider = "kept")
+    public void keptConnectionsAreClosedOnceIdleAndSoonerWhenThereAreMany(int connections, double stays, double goes)
+            throws Exception {
+        atOnce = HIT;
+        try (Socket first = connect(post("/q", "s", BODY))) {
+            response(first);
+            now = stays;
+            var others = new ArrayList<Socket>();
+            for (int i = 1; i < connections; i++) {
+                others.add(connect(""));
+            }
+            accepted(connections);
+            first.getOutputStream().write(post("/q", "t", BODY).getBytes(StandardCharsets.UTF_8));
+            assertTrue(response(first).startsWith("HTTP/1.1 200 "));
+            now += goes;
+            assertEquals(rest(first), "");
+            for (Socket other : others) {
+                other.close();
+            }
+        }
+    }
+
     @DataProvider
     Object[][] answers() {
         return new Object[][] {
--- a/src/test/java/sprucehold/discovery/WatchTest.java
+++ b/src/test/java/sprucehold/discovery/WatchTest.java
@@ -121,6 +121,24 @@
         assertTrue(reports.isEmpty());
     }
 
+    @Test
+    public void listIsFollowedAtItsNewAddressAtOnceAndTheOldOneIsNotHeard() throws Exception {
+        var moved = new LinkedBlockingQueue<HttpServerRequest>();
+        int port = vertx.createHttpServer().requestHandler(moved::add).listen(0, "127.0.0.1").toCompletionStage()
+                .toCompletableFuture().get(5, TimeUnit.SECONDS).actualPort();
+        watch.start(41);
+        HttpServerRequest old = call("/discovery/hosts?after=41&wait_ms=20000");
+        vertx.runOnContext(none -> watch.move("127.0.0.1", port));
+        // The whole list, since the versions of the two need not go together.
+        HttpServerRequest first = moved.poll(5, TimeUnit.SECONDS);
+        assertEquals(first.uri(), "/discovery/hosts");
+        old.response().end(list(42, false, endpoint("")));
+        first.response().end(list(7, true, endpoint(",\"name\":\"new\"")));
+        assertEquals(((Report.ListCame) report()).servers().get(0).name(), "new");
+        assertEquals(moved.poll(5, TimeUnit.SECONDS).uri(), "/discovery/hosts?after=7&wait_ms=20000");
+        assertTrue(reports.isEmpty());
+    }
+
     @DataProvider
     Object[][] failures() {
         return new Object[][] {{"status"}, {"malformed"}, {"closed"}, {"back"}};
--- a/src/test/java/sprucehold/node/NodeTest.java
+++ b/src/test/java/sprucehold/node/NodeTest.java
@@ -18,7 +18,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
+import org.testng.SkipException;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -153,6 +155,21 @@
         }
     }
 
+    @Test
+    public void hangUpIsTakenOverEachTime() throws Exception {
+        String ignored = Files.readAllLines(Path.of("/proc/self/status")).stream()
+                .filter(line -> line.startsWith("SigIgn:")).findAny().orElseThrow().replaceAll(".*\\s", "");
+        if ((Long.parseUnsignedLong(ignored, 16) & 1) != 0) {
+            throw new SkipException("started with SIGHUP ignored, as under nohup, which the JVM keeps");
+        }
+        var hungUp = new Semaphore(0);
+        Signals.onHangUp(hungUp::release);
+        for (int i = 0; i < 2; i++) {
+            new ProcessBuilder("kill", "-HUP", String.valueOf(ProcessHandle.current().pid())).start().waitFor();
+            assertTrue(hungUp.tryAcquire(10, TimeUnit.SECONDS));
+        }
+    }
+
     private Future<Integer> ask(String id) {
         return vertx.createHttpClient().request(HttpMethod.POST, port, "127.0.0.1", "/q")
                 .compose(request -> request.putHeader("X-Request-Id", id).putHeader("X-Class", "q")
--- a/src/test/java/sprucehold/picker/PickerTest.java
+++ b/src/test/java/sprucehold/picker/PickerTest.java
@@ -222,6 +222,22 @@
         assertEquals(picker.held(), 0);
     }
 
+    @Test
+    public void serversThatWereReplacedLeaveNothingBehindAndPartsOutAtThemEndAsUsual() {
+        Dispatch dispatch = sent("s");
+        for (int i = 0; i < 100; i++) {
+            ServerNews old = new ServerNews("n" + i, "127.0.0.1:2", 0, "z", 0, ServerNews.State.GONE);
+            picker.report(2, List.of(new Report.ListCame(i % 2 == 0,
+                    List.of(old, new ServerNews("n" + (i + 1), "127.0.0.1:2", 0, "z", 0, ServerNews.State.RUNNING)))));
+        }
+        assertEquals(picker.serversHeld(), 1);
+        script.add(List.of(new Action.Answer("s", true)));
+        assertEquals(ended(3, dispatch, HIT).replies().size(), 1);
+        // Where the decisions still name one of them, nothing goes out.
+        script.add(List.of(send("t.0")));
+        assertTrue(picker.pick(4, scan("t", null, 1)).send().isEmpty());
+    }
+
     @Test
     public void nextTickIsTheEarliestOfWakingPatienceAndTheScansEnd() {
         script.add(List.of(send("s.0"), new Action.Wake(50), new Action.Wake(90)));
--- a/src/test/java/sprucehold/shards/ShardServersTest.java
+++ b/src/test/java/sprucehold/shards/ShardServersTest.java
@@ -37,7 +37,8 @@
 
 /** The connections to shard servers against scripted ones on loopback. */
 public class ShardServersTest {
-    private static final int BIG = 8 << 20;
+    /** More than the buffers of both ends hold together. */
+    private static final int BIG = 64 << 20;
 
     private Vertx vertx;
     private ShardServers shards;
@@ -249,6 +250,24 @@
         assertNull(heard.poll());
     }
 
+    @Test(dataProvider = "closedStates")
+    public void serverThatIsNotWantedAnyMoreKeepsItsConnectionOnlyWhileSomethingIsOut(ServerNews.State state)
+            throws Exception {
+        start(32, 1, (socket, bytes) -> { });
+        List<Dispatch> sent = dispatches("s", 1, "text");
+        send(sent);
+        assertTrue(heard.poll(5, TimeUnit.SECONDS).contains("As.0"));
+        for (int left : new int[] {1, 0}) {
+            onLoop(() -> {
+                list(state, server.actualPort());
+                shards.sweep(300);
+                shards.callOff(left == 1 ? sent : List.of());
+                return null;
+            });
+            assertEquals((int) onLoop(() -> shards.links()), left);
+        }
+    }
+
     @Test
     public void furtherConnectionIsOpenedOnlyWhenOneIsFull() throws Exception {
         start(2, 1, (socket, bytes) -> { });
