--- a/src/main/java/sprucehold/shards/ShardServers.java
+++ b/src/main/java/sprucehold/shards/ShardServers.java
@@ -110,7 +110,7 @@
     void sweep(double dialMs) {
         for (Peer peer : peers.values()) {
             // What isn't listed any more gets nothing new, so its links only hold descriptors.
-            double idleMs = peer.server.running() ? limits.idleCloseMs() - 2 * dialMs : 0;
+            double idleMs = peer.server.running() ? limits.idleCloseMs() - 2 * dialMs : -1;
             List.copyOf(peer.links).forEach(link -> link.sweep(dialMs, idleMs));
         }
         peers.values().removeIf(peer -> peer.links.isEmpty() && !peer.server.running());
