Warm up by rehearsed scans before listening, so that the first seconds are answered

CPU by thread, read from outside: for 5 s after the start all of the half core is used, two fifths of it by the compiler, later 0.10 to 0.15 of a core. So it is code that is interpreted and being compiled, not load, and not the decisions. The warm-up goes over socket files in a private directory, since a gatherer listens on its own address only.

--- a/src/main/java/sprucehold/clients/ClientServer.java
+++ b/src/main/java/sprucehold/clients/ClientServer.java
@@ -13,6 +13,7 @@
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
 import io.vertx.core.http.impl.HttpServerConnection;
+import io.vertx.core.net.SocketAddress;
 import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
@@ -61,8 +62,8 @@
         vertx.setPeriodic(SWEEP_MS, timer -> connections.sweep());
     }
 
-    public Future<HttpServer> listen(String host, int port) {
-        return server.listen(port, host);
+    public Future<HttpServer> listen(SocketAddress at) {
+        return server.listen(at);
     }
 
     private void requested(HttpServerRequest request) {
--- a/src/main/java/sprucehold/node/Node.java
+++ b/src/main/java/sprucehold/node/Node.java
@@ -70,8 +70,12 @@
         if (seat.known() != null) {
             report(new Report.ListCame(true, seat.known().servers()));
         }
-        watch.start(seat.known() == null ? -1 : seat.known().index());
-        return clients.listen(seat.listen().host(), seat.listen().port()).map(server -> {
+        if (seat.discovery().equals(Seat.Address.NONE)) {
+            watch.stop();
+        } else {
+            watch.start(seat.known() == null ? -1 : seat.known().index());
+        }
+        return clients.listen(seat.listen().socket()).map(server -> {
             LOG.info("listening at " + seat.listen());
             return server.actualPort();
         });
--- a/src/main/java/sprucehold/node/Rehearsal.java
+++ b/src/main/java/sprucehold/node/Rehearsal.java
@@ -27,6 +27,7 @@
         if (seat.known() == null) {
             throw new Service.StartFailedException("no known list to stand in for");
         }
+        WarmUp.run(seat, factory);
         Vertx vertx = Service.vertx();
         var done = new CompletableFuture<Boolean>();
         vertx.runOnContext(none -> StandIns.start(vertx, HOST, 0, seat.known().servers(), true)
--- a/src/main/java/sprucehold/node/Seat.java
+++ b/src/main/java/sprucehold/node/Seat.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import io.vertx.core.net.SocketAddress;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -21,6 +22,15 @@
 
     /** Where to listen or call. */
     public record Address(String host, int port) {
+        /** Nowhere. */
+        static final Address NONE = new Address("", 0);
+
+        /** A host that begins with a slash is the path of a socket. */
+        SocketAddress socket() {
+            return host.startsWith("/") ? SocketAddress.domainSocketAddress(host)
+                    : SocketAddress.inetSocketAddress(port, host);
+        }
+
         static Address parse(String text, String what) throws MalformedFactsException {
             int colon = text.lastIndexOf(':');
             if (colon <= 0 || !text.substring(colon + 1).matches("[0-9]{1,5}")
--- a/src/main/java/sprucehold/node/Service.java
+++ b/src/main/java/sprucehold/node/Service.java
@@ -27,6 +27,7 @@
      * @param reread reads the configuration anew when SIGHUP asks for it
      */
     public static void start(Seat seat, Gatherer.Factory factory, Callable<Seat> reread) throws StartFailedException {
+        WarmUp.run(seat, factory);
         Vertx vertx = vertx();
         var started = new CompletableFuture<Node>();
         vertx.runOnContext(none -> {
--- /dev/null
+++ b/src/main/java/sprucehold/node/WarmUp.java
@@ -0,0 +1,141 @@
+package sprucehold.node;
+
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetSocket;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import sprucehold.discovery.ListNews;
+import sprucehold.picker.ServerNews;
+import sprucehold.port.Gatherer;
+import sprucehold.port.TableType;
+import sprucehold.standin.StandIns;
+
+/**
+ * Runs scans through a gatherer of its own before the real one listens, so that what serving needs is loaded and
+ * compiled by then: a JVM that begins under load with a part of a core answers nothing in time for seconds. All
+ * stays within the process: its sockets are files in a directory that nobody else knows, and go with it.
+ */
+final class WarmUp {
+    private static final Logger LOG = Logger.getLogger(WarmUp.class.getName());
+    /** Most of what a scan runs is compiled by then. */
+    private static final int SCANS = 600;
+    /** Whoever waits for this gatherer waits no longer for it. */
+    private static final long LONGEST_MS = 6000;
+    private static final int CLIENTS = 4;
+
+    private final Vertx vertx = Service.vertx();
+    private final Seat seat;
+    private int asked;
+
+    private WarmUp(Seat seat) {
+        this.seat = seat;
+    }
+
+    /** Returns when it is done; whatever goes wrong, only the time is lost. */
+    static void run(Seat seat, Gatherer.Factory factory) {
+        // What is tried here is no news to operators.
+        Logger all = Logger.getLogger("sprucehold");
+        all.setLevel(Level.OFF);
+        long begun = System.nanoTime();
+        Path directory = null;
+        var warmUp = new WarmUp(seat);
+        try {
+            directory = Files.createTempDirectory("warm-up");
+            warmUp.start(directory, factory).toCompletionStage().toCompletableFuture()
+                    .get(LONGEST_MS, TimeUnit.MILLISECONDS);
+        } catch (IOException | ExecutionException | TimeoutException e) {
+            // Served cold then.
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } finally {
+            warmUp.vertx.close().toCompletionStage().toCompletableFuture().join();
+            all.setLevel(null);
+            remove(directory);
+        }
+        LOG.info("warmed up by " + warmUp.asked + " scans in " + (System.nanoTime() - begun) / 1_000_000 + " ms");
+    }
+
+    private static void remove(Path directory) {
+        if (directory == null) {
+            return;
+        }
+        for (String name : List.of("clients", "shards", "")) {
+            try {
+                Files.deleteIfExists(directory.resolve(name));
+            } catch (IOException e) {
+                LOG.log(Level.FINE, "left of the warm-up", e);
+            }
+        }
+    }
+
+    private Future<Void> start(Path directory, Gatherer.Factory factory) {
+        String shards = directory.resolve("shards").toString();
+        var servers = new ArrayList<ServerNews>();
+        for (int cell = 0; cell < seat.facts().deployment().layout().cells(); cell++) {
+            for (String holder : List.of("a", "b")) {
+                servers.add(new ServerNews(holder + cell, shards, cell, "", 0, ServerNews.State.RUNNING));
+            }
+        }
+        var clients = new Seat.Address(directory.resolve("clients").toString(), 0);
+        var warm = new Seat(seat.name(), clients, Seat.Address.NONE, seat.seed(), seat.sockets(),
+                new ListNews(0, true, servers), seat.facts());
+        Promise<Void> done = Promise.promise();
+        vertx.runOnContext(none -> StandIns.shardServer(vertx, shards)
+                .compose(listening -> new Node(vertx, warm, factory).start())
+                .compose(listening -> {
+                    var asking = new ArrayList<Future<Void>>();
+                    for (int i = 0; i < CLIENTS; i++) {
+                        asking.add(vertx.createNetClient().connect(clients.socket()).compose(this::ask));
+                    }
+                    return Future.all(asking);
+                })
+                .onComplete(all -> done.complete(), done::fail));
+        return done.future();
+    }
+
+    /** Asks one scan after the other. */
+    private Future<Void> ask(NetSocket socket) {
+        Promise<Void> done = Promise.promise();
+        socket.closeHandler(none -> done.tryComplete());
+        socket.handler(bytes -> {
+            // The end of an answer's body, completed or not.
+            byte last = bytes.getByte(bytes.length() - 1);
+            if (last == '}' || last == '\n') {
+                next(socket);
+            }
+        });
+        next(socket);
+        return done.future();
+    }
+
+    private void next(NetSocket socket) {
+        if (asked == SCANS) {
+            socket.close();
+            return;
+        }
+        asked++;
+        List<TableType> types = seat.facts().deployment().tableTypes();
+        TableType type = types.get(asked % types.size());
+        int parts = 1 + asked % Math.min(6, seat.facts().segments());
+        var buckets = new StringBuilder();
+        for (int i = 0; i < parts; i++) {
+            buckets.append(i == 0 ? "" : ",").append("{\"bucket\":").append((asked + i) % seat.facts().segments())
+                    .append(",\"part\":").append(1.0 / parts).append('}');
+        }
+        String body = "{\"buckets\":[" + buckets + "],\"body\":\"c41e77d0\"}";
+        socket.write(Buffer.buffer("POST /" + type.name() + " HTTP/1.1\r\nHost: warm-up\r\nX-Request-Id: warm-up-" + asked
+                + "\r\nX-Class: " + type.name() + "\r\nX-Tenant: none\r\nX-Deadline-Ms: 2000\r\nContent-Length: "
+                + body.length() + "\r\n\r\n" + body));
+    }
+}
--- a/src/main/java/sprucehold/shards/ShardServers.java
+++ b/src/main/java/sprucehold/shards/ShardServers.java
@@ -101,6 +101,9 @@
     }
 
     private Future<NetSocket> dial(String address) {
+        if (address.startsWith("/")) {
+            return client.connect(SocketAddress.domainSocketAddress(address));
+        }
         int colon = address.lastIndexOf(':');
         return client.connect(SocketAddress.inetSocketAddress(
                 Integer.parseInt(address.substring(colon + 1)), address.substring(0, colon)));
--- a/src/main/java/sprucehold/standin/StandInShardServer.java
+++ b/src/main/java/sprucehold/standin/StandInShardServer.java
@@ -6,6 +6,7 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetSocket;
+import io.vertx.core.net.SocketAddress;
 import io.vertx.core.parsetools.RecordParser;
 import java.nio.charset.StandardCharsets;
 
@@ -17,8 +18,8 @@
         this.vertx = vertx;
     }
 
-    Future<NetServer> listen(String host, int port) {
-        return vertx.createNetServer().connectHandler(this::serve).listen(port, host);
+    Future<NetServer> listen(SocketAddress at) {
+        return vertx.createNetServer().connectHandler(this::serve).listen(at);
     }
 
     private void serve(NetSocket socket) {
--- a/src/main/java/sprucehold/standin/StandIns.java
+++ b/src/main/java/sprucehold/standin/StandIns.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import io.vertx.core.net.SocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import sprucehold.picker.ServerNews;
@@ -27,13 +28,18 @@
             String at = server.address().substring(0, colon);
             int listed = Integer.parseInt(server.address().substring(colon + 1));
             started = started
-                    .compose(before -> new StandInShardServer(vertx).listen(at, moved ? 0 : listed))
+                    .compose(before -> new StandInShardServer(vertx).listen(SocketAddress.inetSocketAddress(moved ? 0 : listed, at)))
                     .map(listening -> endpoints.add(endpoint(server, at + ":" + listening.actualPort())));
         }
         return started.compose(all -> new StandInDiscovery(vertx, endpoints).listen(host, port))
                 .map(discovery -> discovery.actualPort());
     }
 
+    /** Starts a shard server at the path of a socket. */
+    public static Future<?> shardServer(Vertx vertx, String path) {
+        return new StandInShardServer(vertx).listen(SocketAddress.domainSocketAddress(path));
+    }
+
     private static ObjectNode endpoint(ServerNews server, String address) {
         return new ObjectMapper().createObjectNode().put("name", server.name()).put("address", address)
                 .put("zone", server.zone()).put("group", server.cell()).put("status", "active")
--- a/src/test/java/sprucehold/clients/ClientServerTest.java
+++ b/src/test/java/sprucehold/clients/ClientServerTest.java
@@ -6,6 +6,7 @@
 
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServer;
+import io.vertx.core.net.SocketAddress;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
@@ -86,7 +87,7 @@
         var listening = new CompletableFuture<HttpServer>();
         vertx.runOnContext(none -> {
             server = new ClientServer(vertx, 10, MOST, desk, () -> now);
-            server.listen("127.0.0.1", 0).onComplete(listening::complete, listening::completeExceptionally);
+            server.listen(SocketAddress.inetSocketAddress(0, "127.0.0.1")).onComplete(listening::complete, listening::completeExceptionally);
         });
         port = listening.get(5, TimeUnit.SECONDS).actualPort();
     }
--- a/src/test/java/sprucehold/node/NodeTest.java
+++ b/src/test/java/sprucehold/node/NodeTest.java
@@ -10,16 +10,20 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
 import java.io.BufferedReader;
+import java.io.File;
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.testng.SkipException;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -27,6 +31,7 @@
 import org.testng.annotations.Test;
 import sprucehold.facts.MalformedFactsException;
 import sprucehold.port.Action;
+import sprucehold.port.Ending;
 import sprucehold.port.Event;
 import sprucehold.port.Gatherer;
 
@@ -128,6 +133,34 @@
         assertEquals(lines, List.of("q: 200 {\"finished\":true,\"found\":[{\"bucket\":0,\"item\":\"0:c41e77d0\"}]}"));
     }
 
+    @Test
+    public void warmUpRunsScansThroughTheDecisionsAndLeavesNothing() throws Exception {
+        var answered = new AtomicInteger();
+        Gatherer.Factory factory = (seed, facts) -> (now, events) -> {
+            var actions = new ArrayList<Action>();
+            for (Event event : events) {
+                if (event instanceof Event.PartTaken part) {
+                    actions.add(new Action.Dispatch(part.id(), "a0", 5000));
+                } else if (event instanceof Event.DispatchEnded ended && ended.ending() == Ending.COMPLETED) {
+                    answered.incrementAndGet();
+                    actions.add(new Action.Answer(ended.partId().replaceAll("[.].*", ""), true));
+                }
+            }
+            return actions;
+        };
+        Set<String> before = files();
+        WarmUp.run(seat(PLACE, SETTINGS), factory);
+        assertTrue(answered.get() > 100, String.valueOf(answered));
+        Set<String> left = files();
+        left.removeAll(before);
+        assertEquals(left, Set.of());
+    }
+
+    private static Set<String> files() {
+        return new HashSet<>(List.of(new File(System.getProperty("java.io.tmpdir"))
+                .list((directory, name) -> name.startsWith("warm-up"))));
+    }
+
     @Test
     public void requestsOnTheHeelsOfAnAnswerAreWokenFor() throws Exception {
         // The first scan is answered at once, the second only when the decisions are woken.
