Serve connected clients on after SIGTERM until shortly before the process may be killed

At fault: Node.end closed kept connections 0.7 s after SIGTERM although clients go on using those that stay open. It now serves until 0.45 s before SIGKILL may come, and a scan taken meanwhile gets no more time than that leaves.

--- a/src/main/java/sprucehold/node/Node.java
+++ b/src/main/java/sprucehold/node/Node.java
@@ -44,7 +44,9 @@
     private final Queue<Supplier<Orders>> calls = new ArrayDeque<>();
     private boolean carrying;
     private boolean hasList;
-    private boolean ending;
+    /** How it ends, and since when it does; null while it serves. */
+    private Leave leave;
+    private double leavesAt;
     /** Nobody should come any more: who still does is turned away, so that the end comes. */
     private boolean closed;
     private long timer = -1;
@@ -83,7 +85,7 @@
 
     @Override
     public boolean ready() {
-        return hasList && !ending;
+        return hasList && leave == null;
     }
 
     @Override
@@ -103,7 +105,9 @@
             clients.answer(scan, new Answer.Throttled(0));
             return;
         }
-        run(() -> picker.pick(clock.now(), scan));
+        // An answer has to be out before the process may be killed.
+        double most = leave == null ? Double.POSITIVE_INFINITY : leave.timeLeftMs(clock.now() - leavesAt);
+        run(() -> picker.pick(clock.now(), scan, most));
     }
 
     @Override
@@ -181,14 +185,19 @@
     }
 
     /**
-     * Ends the gatherer once all it has taken is answered. Clients still come for a while, so it listens on for
-     * {@code lingerMs} and asks those it answers to go elsewhere.
+     * Ends the gatherer once all it has taken is answered: it serves on for a while, then asks those it answers to
+     * go elsewhere, and then takes nothing more.
      */
-    Future<Void> end(long lingerMs) {
+    Future<Void> end(Leave how) {
         LOG.info("draining: " + picker.openScans() + " scans open, " + clients.connections() + " client connections");
-        ending = true;
-        clients.drain();
-        return vertx.timer(lingerMs).compose(lingered -> {
+        leave = how;
+        leavesAt = clock.now();
+        return vertx.timer(how.serveMs()).compose(served -> {
+            clients.drain();
+            clients.closeIdle();
+            return how.closeMs() > how.serveMs() ? vertx.timer(how.closeMs() - how.serveMs())
+                    : Future.succeededFuture();
+        }).compose(lingered -> {
             closed = true;
             clients.closeIdle();
             return answered();
--- a/src/main/java/sprucehold/node/Rehearsal.java
+++ b/src/main/java/sprucehold/node/Rehearsal.java
@@ -39,7 +39,7 @@
                     var node = new Node(vertx, moved, factory);
                     return node.start().compose(port -> whenReady(vertx, node)
                             .compose(ready -> ask(vertx, seat, port, line)))
-                            .compose(whole -> node.end(1).map(whole));
+                            .compose(whole -> node.end(Leave.NOW).map(whole));
                 })
                 .onComplete(done::complete, done::completeExceptionally));
         try {
--- a/src/main/java/sprucehold/node/Service.java
+++ b/src/main/java/sprucehold/node/Service.java
@@ -15,9 +15,6 @@
 /** The process around a node: its event loop, and its end on a signal. */
 public final class Service {
     private static final Logger LOG = Logger.getLogger(Service.class.getName());
-    /** As long as requests may still come after the signal and have to be answered. */
-    private static final long LINGER_MS = 700;
-
     private Service() {
     }
 
@@ -87,9 +84,10 @@
     /** Runs on the hook's own thread, and only waits there for what the event loop does. */
     private static void end(Vertx vertx, Node node, Seat seat) {
         var ended = new CompletableFuture<Void>();
-        vertx.runOnContext(none -> node.end(LINGER_MS).onComplete(ended::complete, ended::completeExceptionally));
+        vertx.runOnContext(none -> node.end(Leave.within(seat.facts().longestTimeoutMs())).onComplete(ended::complete, ended::completeExceptionally));
         try {
-            ended.get(LINGER_MS + (long) seat.facts().longestTimeoutMs() + 1000, TimeUnit.MILLISECONDS);
+            // Beyond the time at which it may be killed, for what was taken with more time left.
+            ended.get((long) seat.facts().longestTimeoutMs() + 5000, TimeUnit.MILLISECONDS);
         } catch (ExecutionException | TimeoutException e) {
             LOG.log(Level.WARNING, "ended before all was answered", e);
         } catch (InterruptedException e) {
--- a/src/main/java/sprucehold/picker/OpenScan.java
+++ b/src/main/java/sprucehold/picker/OpenScan.java
@@ -9,9 +9,9 @@
     final List<OpenPart> parts;
     boolean over;
 
-    OpenScan(Scan scan, double now) {
+    OpenScan(Scan scan, double endsAt) {
         this.scan = scan;
-        this.endsAt = now + scan.timeLeftMs();
+        this.endsAt = endsAt;
         this.parts = scan.parts().stream().map(part -> new OpenPart(this, part.segment())).toList();
     }
 }
--- a/src/main/java/sprucehold/picker/Picker.java
+++ b/src/main/java/sprucehold/picker/Picker.java
@@ -83,20 +83,29 @@
         return servers.size();
     }
 
-    /** Takes a scan of a known table type whose id isn't open. It gets exactly one reply, now or later. */
     public Orders pick(double nowMs, Scan scan) {
+        return pick(nowMs, scan, Double.POSITIVE_INFINITY);
+    }
+
+    /**
+     * Takes a scan of a known table type whose id isn't open. It gets exactly one reply, now or later.
+     *
+     * @param mostMs the reply has to come within this time, however long the client would wait
+     */
+    public Orders pick(double nowMs, Scan scan, double mostMs) {
         now = nowMs;
         if (scans.size() + openParts >= maxOpen) {
             replies.add(new Orders.Reply(scan, new Answer.Throttled(0)));
             return orders();
         }
-        var open = new OpenScan(scan, now);
+        double timeLeftMs = Math.min(scan.timeLeftMs(), mostMs);
+        var open = new OpenScan(scan, now + timeLeftMs);
         scans.put(scan.id(), open);
         ends.add(open);
         openParts += open.parts.size();
         long number = ++scansTaken;
         events.add(new Event.ScanTaken(scan.id(), number, tableTypes.get(scan.tableType()),
-                customers.get(scan.customer()), scan.timeLeftMs()));
+                customers.get(scan.customer()), timeLeftMs));
         for (int i = 0; i < open.parts.size(); i++) {
             OpenPart part = open.parts.get(i);
             parts.put(part.id, part);
--- a/src/test/java/sprucehold/node/NodeTest.java
+++ b/src/test/java/sprucehold/node/NodeTest.java
@@ -215,10 +215,14 @@
     public void gathererThatEndsAnswersWhatItHasTakenAndTurnsAwayWhoComesTooLate() throws Exception {
         var taken = new CompletableFuture<Void>();
         var late = new CompletableFuture<Integer>();
+        var between = new CompletableFuture<Double>();
         // The first scan is held until the late one has its answer; the late one isn't asked about.
         Gatherer.Factory factory = (seed, facts) -> (now, events) -> {
             for (Event event : events) {
-                if (event instanceof Event.ScanTaken scan) {
+                if (event instanceof Event.ScanTaken scan && scan.id().equals("between")) {
+                    between.complete(scan.timeLeftMs());
+                    return List.of(new Action.Throttle("between", 0), new Action.Wake(10));
+                } else if (event instanceof Event.ScanTaken scan) {
                     assertEquals(scan.id(), "s");
                     taken.complete(null);
                 }
@@ -233,9 +237,12 @@
         var lingered = new CompletableFuture<Void>();
         var ended = new CompletableFuture<Void>();
         vertx.runOnContext(none -> {
-            node.end(1).onComplete(ended::complete, ended::completeExceptionally);
-            vertx.setTimer(2, timer -> lingered.complete(null));
+            node.end(new Leave(2000, 2200, 9000)).onComplete(ended::complete, ended::completeExceptionally);
+            vertx.setTimer(2300, timer -> lingered.complete(null));
         });
+        // Who is told to leave serves on for a while, but promises no answer for when it may have been killed.
+        assertEquals((int) await(ask("between")), 503);
+        assertTrue(between.get() <= 8800, String.valueOf(between));
         lingered.get(10, TimeUnit.SECONDS);
         assertFalse(node.ready());
         late.complete(await(ask("late")));
