A gatherer that was held up blames no server; spoilt answers fail at once, links end alone

Seen by a probe of the module's picture, four times a second: in two stretches of a second each nearly all twelve servers were set aside, none of them silent on its socket, and 20 scans in 250 ms throttled, while the process used all of its half core. Ruled out: load of bad clients (refusals cost no more CPU before and after), resets by spoilt answers (2 to 6). At fault: Brain.overdue, run after the process had been stopped by its CPU limit while answers lay unread, counted three late parts as three failures; Node.report called the module for the first frame read, with alarms for all others; and sendWaitingParts set an alarm at each call, each of which set a next, so that waiting scans ate the CPU. An alarm later than two ticks is now put off by as much, all that comes in one pass over the sockets is one call, one alarm.

Score, value and load report are checked as well, a frame that doesn't end fails after a dial's time. Parts that end together are one failure of their server.

--- a/src/main/java/sprucehold/Brain.java
+++ b/src/main/java/sprucehold/Brain.java
@@ -23,14 +23,12 @@
 
 /**
  * All decisions of one gatherer. It is called through {@link #decide}, the one entry point: what happened
- * goes in, what is to be done comes out. The interface is the package {@link sprucehold.port}; nothing else
- * calls it.
+ * goes in, what is to be done comes out. The interface is the package {@link sprucehold.port}.
  *
  * <p>The design (docs/design.md) decides the ordinary path: rounds, their width, and the position rule.
  * Beside it stand six mechanisms:
  * <ol>
- * <li>set-aside: what may be out at a shard server shrinks while it is late; one that fails in a row gets no
- * parts, then a trickle that doubles;
+ * <li>set-aside: a late shard server has fewer parts out, one that fails in a row none, then a few more;
  * <li>cold budget: a server that has just started is sent this gatherer's part of its limit, or by lot;
  * <li>list following: nothing goes to a server reported draining or gone; the list is asked for if need be;
  * <li>further dispatches: other tries and second copies, within what table type, limits and budget allow;
@@ -52,6 +50,7 @@
     /** Scans not begun and parts not sent because their servers have no room yet. */
     private final List<Scan> waiting = new ArrayList<>();
     private final List<Part> waitingParts = new ArrayList<>();
+    private double lookAgainAt;
     private final Map<String, Srv> srvsById = new TreeMap<>();
     /** The listed servers of each cell, in the order of their ids: the same at every gatherer. */
     private final List<List<Srv>> cells = new ArrayList<>();
@@ -67,8 +66,7 @@
     /** The design's estimate. It starts at one, so that a first scan isn't asked in full for nothing. */
     private double servedShare = 1;
 
-    private record Alarm(double at, long turn, Runnable task) {
-    }
+    private record Alarm(double at, long turn, Runnable task) { }
 
     private static final class Scan {
         final Event.ScanTaken taken;
@@ -211,8 +209,7 @@
         void add(double ms) {
             int bin = (int) Math.ceil(Math.log(Math.max(ms, 10) / 10) / Math.log(1.6));
             counts[Math.min(bin, BINS - 1)]++;
-            total++;
-            if (total >= keep) {
+            if (++total >= keep) {
                 halve();
             }
         }
@@ -281,6 +278,9 @@
                 listUnavailable();
             }
         }
+        while (!takenAt.isEmpty() && takenAt.peek() <= now - facts.dispatchBudget().windowMs()) {
+            takenAt.poll();
+        }
         wakeAt = wakeAt <= now ? Double.POSITIVE_INFINITY : wakeAt;
         while (!alarms.isEmpty() && alarms.peek().at <= now) {
             alarms.poll().task.run();
@@ -336,8 +336,7 @@
                 scans.remove();
             }
         }
-        // At the most a gatherer may hold the next scan is lost unseen: rather the waiting one that brings
-        // least.
+        // At the most a gatherer may hold, the next scan is lost unseen: rather the one that brings least.
         int open = waiting.isEmpty() ? 0 : scansByNumber.size() + partsById.size();
         while (!waiting.isEmpty() && open > 0.9 * facts.limits().maxOpen()) {
             Scan least = waiting.remove(waiting.size() - 1);
@@ -363,8 +362,7 @@
         double estimate = 0.9 * servedShare;
         int width = estimate <= 0 ? 1 : (int) Math.ceil(scan.needed() / estimate - 1e-9);
         // One part, as for an estimate of zero, where a scan of this customer lately broke all its
-        // connections. Guards servers against scans that bring them down; costs the customer's sound ones a
-        // part's time.
+        // connections: guards servers against scans that bring them down, at the price of a part's time.
         if (now < brokenUntil.getOrDefault(scan.taken.customer(), 0.0) && !scan.secondStep) {
             width = 1;
         }
@@ -548,8 +546,7 @@
 
     /** A part is late there: too much is out at the server, whoever sent it. */
     private void late(Srv srv) {
-        // Once for what was out together, by three tenths: a usual cut, so that room settles rather than
-        // swings.
+        // Once for what was out together, by three tenths, a usual cut: room settles rather than swings.
         if (now - srv.roomCutAt > 200) {
             srv.roomCutAt = now;
             srv.room = Math.max(1, 0.7 * srv.room);
@@ -583,8 +580,7 @@
     }
 
     private double workOf(TableType type) {
-        // The shortest tenth of the times has next to no waiting in it; before any are known, a quarter
-        // target.
+        // The shortest tenth of the times has next to no waiting in it; at first, a quarter target.
         return timesByType.get(type).quantile(0.1, type.targetMs() / 4);
     }
 
@@ -606,8 +602,7 @@
         }
         // Where a gatherer's part of the budget is under one part's work nobody would ever send: gatherers
         // draw lots, each window anew, for one part. Together they send what they would send it warm, scaled
-        // by what it can do and by the rule's multiple over one and a half, so that it may be its segments'
-        // last holder.
+        // by what it can do and the rule's multiple over 1.5, so it may be its segments' last holder.
         if (now >= srv.lotUntil) {
             srv.lotUntil = now + rule.windowMs();
             srv.lotWon = chance.nextDouble() < share * rule.multiple() / 1.5;
@@ -643,6 +638,9 @@
                 cells.get(srv.cell).sort(Comparator.comparing(s -> s.id));
             }
         }
+        // Fleets are replaced for good by servers of new names; half a minute outlasts one that is back soon.
+        srvsById.values().removeIf(srv -> srv.out.isEmpty() && !cells.get(srv.cell).contains(srv)
+                && Math.max(srv.answeredAt, srv.failedAt) < now - 30_000);
         if (first && facts.listAccess().mustAsk()) {
             todo.add(new Action.FollowList());
         } else {
@@ -672,14 +670,12 @@
             return;
         }
         var sent = new Sent(part, srv, now);
+        // A fifth: enough for the shares of a fleet that fail at once, too little to double a full load.
+        // At most ten, or half the parts of a large scan, many of which may be late together.
         if (sent.number > 0) {
             furtherAt.add(now);
-        } else {
-            // A fifth: enough for the shares of a fleet that fail at once, too little to double a full load.
-            // At most ten, or half the parts of a large scan, many of which may be late together.
-            if (copyRoom < Math.max(10, part.scan.parts.size() / 2)) {
-                copyRoom += 0.2;
-            }
+        } else if (copyRoom < Math.max(10, part.scan.parts.size() / 2)) {
+            copyRoom += 0.2;
         }
         part.sent.add(sent);
         srv.out.add(sent);
@@ -687,7 +683,7 @@
             srv.coldSends.add(new double[] {now, workOf(part.scan.type)});
         }
         todo.add(new Action.Dispatch(part.id, srv.id, part.scan.endsAt - now));
-        at(now + lateAfter(part.scan.type), () -> overdue(sent));
+        overdueAt(now + lateAfter(part.scan.type), sent);
     }
 
     private void sendWaitingParts() {
@@ -700,9 +696,10 @@
                 send(part, part.sent.isEmpty() ? choose(part, part.scan.position) : leastLoaded(part));
             }
         }
-        if (!waitingParts.isEmpty() || !waiting.isEmpty()) {
-            // Room also comes with time alone, as when a set-aside ends.
-            at(now + 25, () -> { });
+        if (now >= lookAgainAt && (!waitingParts.isEmpty() || !waiting.isEmpty())) {
+            // Room also comes with time alone, as when a set-aside ends. One alarm: each would set a next.
+            lookAgainAt = now + 25;
+            at(lookAgainAt, () -> { });
         }
     }
 
@@ -719,15 +716,12 @@
             return false;
         }
         boolean mayHaveRun = part.mayHaveRun || part.isOut();
-        if (mayHaveRun && scan.type.repeat() == TableType.Repeat.NON_REPLAYABLE) {
-            return false;
-        }
-        if (mayHaveRun && scan.type.repeat() == TableType.Repeat.KEYED
-                && now > part.sent.get(0).at + scan.type.keyedWindowMs() - 2 * facts.tickMs()) {
+        if (mayHaveRun && (scan.type.repeat() == TableType.Repeat.NON_REPLAYABLE
+                || scan.type.repeat() == TableType.Repeat.KEYED
+                && now > part.sent.get(0).at + scan.type.keyedWindowMs() - 2 * facts.tickMs())) {
             return false;
         }
         var budget = facts.dispatchBudget();
-        takenAt.removeIf(time -> time <= now - budget.windowMs());
         furtherAt.removeIf(time -> time < now - budget.windowMs() - facts.tickMs());
         return furtherAt.size() + 1 <= budget.free() + budget.perTaken() * takenAt.size();
     }
@@ -741,17 +735,24 @@
         return part.broken && part.scan.completed() == 0;
     }
 
+    /** An alarm that comes late itself tells nothing: answers may lie unread, or the part went out late. */
+    private void overdueAt(double due, Sent sent) {
+        at(due, () -> {
+            if (sent.out && now - due > 2 * facts.tickMs()) {
+                overdueAt(2 * now - due, sent);
+            } else if (sent.out) {
+                overdue(sent);
+            }
+        });
+    }
+
     private void overdue(Sent sent) {
-        if (!sent.out) {
-            return;
-        }
         sent.overdue = true;
         // It will take longer still, but by then it is too late to know.
         slowness.add(1000 * Math.max(0.5, (now - sent.at) / sent.part.scan.type.targetMs()));
         lateByZone.merge(sent.srv.zone, 0.1, (late, one) -> 0.9 * late + one);
         late(sent.srv);
-        // One that still answers is slow; while the fleet as a whole is, setting it aside only loads the
-        // others.
+        // One that still answers is slow; while the whole fleet is, setting it aside only loads the others.
         if (sent.srv.answeredAt < sent.at || servedShare >= 0.6) {
             failed(sent.srv, false);
         }
@@ -794,12 +795,10 @@
         part.mayHaveRun |= !ended.ending().provesNeverRan;
         if (ended.ending() == Ending.COMPLETED) {
             timesByType.get(scan.type).add(ended.tookMs());
-            if (!sent.overdue) {
-                slowness.add(1000 * ended.tookMs() / scan.type.targetMs());
-            }
             sent.srv.answeredAt = now;
             sent.srv.answeredOfAt = Math.max(sent.srv.answeredOfAt, sent.at);
             if (!sent.overdue) {
+                slowness.add(1000 * ended.tookMs() / scan.type.targetMs());
                 lateByZone.merge(sent.srv.zone, 0.0, (late, none) -> 0.9 * late);
                 completedInTime(sent.srv, ended.tookMs() < scan.type.targetMs() / 4);
             }
@@ -816,8 +815,10 @@
                 if (!part.round.timerOver && !part.completed && sent.calledOff) {
                     part.round.calledOff++;
                 }
-            } else if (!sent.overdue && ended.ending() != Ending.TIMED_OUT) {
+            } else if (!sent.overdue && ended.ending() != Ending.TIMED_OUT
+                    && (sent.srv.failedAt < now || ended.ending() == Ending.UNCONNECTED)) {
                 // A time-out before the part was late tells of the client's haste, not of the server.
+                // All that ends together is one failure: a link that breaks mustn't set a server aside.
                 failed(sent.srv, ended.ending() == Ending.UNCONNECTED);
             }
             part.broken |= ended.ending() == Ending.RESET;
--- a/src/main/java/sprucehold/node/Node.java
+++ b/src/main/java/sprucehold/node/Node.java
@@ -1,9 +1,11 @@
 package sprucehold.node;
 
+import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Queue;
 import java.util.Set;
@@ -40,9 +42,13 @@
     private final Set<String> tableTypes;
     /** What was reported since the picker was last told. */
     private final List<Report> reports = new ArrayList<>();
-    /** Calls of the picker that came while orders were being carried out wait their turn here. */
+    /** Calls of the picker wait here until all that came in at one moment is read. */
     private final Queue<Supplier<Orders>> calls = new ArrayDeque<>();
     private boolean carrying;
+    private boolean due;
+    /** The ids of scans among those calls. */
+    private final Set<String> coming = new HashSet<>();
+    private final Context context;
     private boolean hasList;
     /** How it ends, and since when it does; null while it serves. */
     private Leave leave;
@@ -55,6 +61,7 @@
 
     Node(Vertx vertx, Seat seat, Gatherer.Factory factory) {
         this.vertx = vertx;
+        this.context = vertx.getOrCreateContext();
         this.seat = seat;
         var deployment = seat.facts().deployment();
         this.tableTypes = deployment.tableTypes().stream().map(TableType::name).collect(Collectors.toSet());
@@ -95,7 +102,7 @@
 
     @Override
     public boolean isOpen(Scan scan) {
-        return picker.isOpen(scan);
+        return coming.contains(scan.id()) || picker.isOpen(scan);
     }
 
     @Override
@@ -107,12 +114,19 @@
         }
         // An answer has to be out before the process may be killed.
         double most = leave == null ? Double.POSITIVE_INFINITY : leave.timeLeftMs(clock.now() - leavesAt);
-        run(() -> picker.pick(clock.now(), scan, most));
+        coming.add(scan.id());
+        soon(() -> {
+            // Whoever left meanwhile gets no work done.
+            return coming.remove(scan.id()) ? picker.pick(clock.now(), scan, most)
+                    : picker.report(clock.now(), List.of());
+        });
     }
 
     @Override
     public void left(Scan scan) {
-        report(new Report.ClientLeft(scan));
+        if (!coming.remove(scan.id())) {
+            report(new Report.ClientLeft(scan));
+        }
     }
 
     private void report(Report report) {
@@ -122,7 +136,7 @@
         }
         reports.add(report);
         if (reports.size() == 1) {
-            run(this::reported);
+            soon(this::reported);
         }
     }
 
@@ -132,11 +146,28 @@
         return picker.report(clock.now(), batch);
     }
 
-    private void run(Supplier<Orders> call) {
+    /**
+     * Calls the picker once this pass over the sockets is through. What one socket brings mustn't be decided upon
+     * while answers that came with it lie unread on others and would look late.
+     */
+    private void soon(Supplier<Orders> call) {
         calls.add(call);
-        if (carrying) {
-            return;
+        if (!carrying) {
+            runSoon();
+        }
+    }
+
+    private void runSoon() {
+        if (!due) {
+            due = true;
+            context.runOnContext(none -> {
+                due = false;
+                run();
+            });
         }
+    }
+
+    private void run() {
         carrying = true;
         double nextTickAt = timerAt;
         try {
@@ -151,6 +182,10 @@
         } finally {
             carrying = false;
         }
+        if (!calls.isEmpty()) {
+            // Left by a panic.
+            runSoon();
+        }
         arm(nextTickAt);
     }
 
@@ -174,7 +209,8 @@
         if (at < Double.POSITIVE_INFINITY) {
             timer = vertx.setTimer(Math.max(1, (long) Math.ceil(at - clock.now())), fired -> {
                 timerAt = Double.POSITIVE_INFINITY;
-                run(() -> picker.tick(clock.now()));
+                calls.add(() -> picker.tick(clock.now()));
+                run();
             });
         }
     }
--- a/src/main/java/sprucehold/picker/Outcome.java
+++ b/src/main/java/sprucehold/picker/Outcome.java
@@ -5,7 +5,7 @@
     record Completed(byte[] value, Load load) implements Outcome {
     }
 
-    /** The shard server failed on it; it may have run. */
+    /** The shard server failed on it, or what it sent can't be read; it may have run. */
     record Faulty(Load load) implements Outcome {
     }
 
--- a/src/main/java/sprucehold/shards/FrameReader.java
+++ b/src/main/java/sprucehold/shards/FrameReader.java
@@ -1,12 +1,11 @@
 package sprucehold.shards;
 
-import io.vertx.core.Handler;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.parsetools.RecordParser;
 import java.util.function.Consumer;
 
 /** Cuts what a shard server sends into frames, wherever it is split. */
-final class FrameReader implements Handler<Buffer> {
+final class FrameReader {
     /** Twice the longest answer a client may get, so no sound value is longer. */
     private static final int LONGEST = 128 * 1024;
 
@@ -15,6 +14,7 @@
     private final Consumer<String> malformed;
     private boolean inFrame;
     private boolean broken;
+    private double heardAt;
 
     FrameReader(Consumer<ShardFrame> frames, Consumer<String> malformed) {
         this.frames = frames;
@@ -22,13 +22,18 @@
         parser.handler(this::record);
     }
 
-    @Override
-    public void handle(Buffer bytes) {
+    void handle(Buffer bytes, double now) {
+        heardAt = now;
         if (!broken) {
             parser.handle(bytes);
         }
     }
 
+    /** Whether a frame has begun and nothing more of it came for so long: its length doesn't fit. */
+    boolean stalled(double now, double silenceMs) {
+        return inFrame && !broken && now - heardAt > silenceMs;
+    }
+
     private void record(Buffer bytes) {
         if (broken) {
             return;
--- a/src/main/java/sprucehold/shards/ShardFrame.java
+++ b/src/main/java/sprucehold/shards/ShardFrame.java
@@ -1,6 +1,9 @@
 package sprucehold.shards;
 
 import io.vertx.core.buffer.Buffer;
+import java.nio.ByteBuffer;
+import java.nio.charset.CharacterCodingException;
+import java.nio.charset.StandardCharsets;
 import sprucehold.picker.Load;
 
 /** What a shard server sends. */
@@ -52,8 +55,8 @@
             throw new MalformedException("a part's end without its line");
         }
         String[] fields = frame.getString(1, lineEnd).split(" ", -1);
-        if (fields.length != 4 || fields[0].isEmpty()) {
-            throw new MalformedException("a part's line of " + fields.length + " fields");
+        if (fields.length != 4 || fields[0].isEmpty() || !fields[2].matches("-?[0-9.]{1,40}")) {
+            throw new MalformedException("a part's line that isn't one");
         }
         End end = switch (fields[1]) {
             case "hit" -> End.HIT;
@@ -61,7 +64,22 @@
             case "overload" -> End.OVERLOAD;
             default -> throw new MalformedException("a part's unknown end");
         };
-        return new Ended(fields[0], end, load(fields[3]), frame.getBytes(lineEnd + 1, frame.length()));
+        return new Ended(fields[0], end, load(fields[3]), value(frame.getBytes(lineEnd + 1, frame.length())));
+    }
+
+    /**
+     * A value is text, and no text holds a zero byte; a frame whose length is too large holds those of the next
+     * one's length.
+     */
+    private static byte[] value(byte[] bytes) throws MalformedException {
+        try {
+            if (StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(bytes)).toString().indexOf(0) < 0) {
+                return bytes;
+            }
+        } catch (CharacterCodingException e) {
+            // As below.
+        }
+        throw new MalformedException("a value that isn't text");
     }
 
     private static Probed probed(String text) {
@@ -84,6 +102,9 @@
             } catch (NumberFormatException e) {
                 continue;
             }
+            if (!(value >= 0 && value < Double.POSITIVE_INFINITY)) {
+                continue;
+            }
             switch (field.substring(0, equals)) {
                 case "inflight" -> held = value;
                 case "queue" -> queued = value;
--- a/src/main/java/sprucehold/shards/ShardLink.java
+++ b/src/main/java/sprucehold/shards/ShardLink.java
@@ -4,7 +4,6 @@
 import io.vertx.core.net.NetSocket;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -51,8 +50,10 @@
     /** Calls that wait for the connection to come up, each with parts of one scan. */
     private final Queue<List<Dispatch>> waiting = new ArrayDeque<>();
     private final Map<String, Flight> flights = new LinkedHashMap<>();
-    /** Parts called off whose answers may still come, and until when they may. */
-    private final Map<String, Double> calledOff = new HashMap<>();
+    /** How long after its patience the answer to a part called off may still come: none is known to take longer. */
+    private static final double LATEST_MS = 30_000;
+    /** Parts called off whose answers may still come, and until when they may; earliest first. */
+    private final Map<String, Double> calledOff = new LinkedHashMap<>();
     /** When each probe that has no answer yet was sent. */
     private final Queue<Double> probes = new ArrayDeque<>();
     /** Probes that wait for the connection to come up, and whether they ask for the load. */
@@ -63,6 +64,8 @@
     private double idleSince;
     private boolean doubtful;
     private boolean over;
+    private boolean spoilt;
+    private FrameReader reader;
 
     ShardLink(Owner owner, String address, int mostParts) {
         this.owner = owner;
@@ -88,13 +91,10 @@
         idleSince = heardAt;
         socket.exceptionHandler(failure -> LOG.log(Level.FINE, "connection to " + address, failure));
         socket.closeHandler(none -> close(false, "closed by the other side"));
-        var reader = new FrameReader(this::received, why -> {
-            LOG.warning("shard server at " + address + " sent what can't be read: " + why);
-            close(false, why);
-        });
+        reader = new FrameReader(this::received, this::unreadable);
         socket.handler(bytes -> {
             try {
-                reader.handle(bytes);
+                reader.handle(bytes, owner.now());
             } catch (RuntimeException e) {
                 LOG.log(Level.SEVERE, "panic: the connection to the shard server at " + address + " is closed", e);
                 close(false, "panic");
@@ -153,6 +153,10 @@
 
     /** A frame whose last byte was never handed over has not run; that may be known only after the close. */
     private void lost(Flight flight) {
+        if (spoilt) {
+            owner.ended(flight.dispatch, new Outcome.Faulty(null));
+            return;
+        }
         if (flight.write == null) {
             owner.ended(flight.dispatch, new Outcome.Lost(Progress.WRITTEN));
             return;
@@ -175,7 +179,7 @@
             return false;
         }
         flights.remove(dispatch.partId());
-        calledOff.put(dispatch.partId(), flight.writtenAt + dispatch.patienceMs());
+        calledOff.put(dispatch.partId(), flight.writtenAt + dispatch.patienceMs() + LATEST_MS);
         socket.write(GathererFrame.giveUp(dispatch.partId()));
         idle();
         owner.ended(dispatch, new Outcome.CalledOff(Progress.WRITTEN));
@@ -191,12 +195,30 @@
         socket.write(load ? GathererFrame.loadProbe() : GathererFrame.probe());
     }
 
+    /**
+     * What the server sent can't be read or isn't the answer to anything, so nothing that follows can be trusted.
+     * One of the parts out was meant, or all are answered and it came on top.
+     */
+    private void unreadable(String why) {
+        if (!over) {
+            LOG.warning("shard server at " + address + " sent what can't be read: " + why);
+            spoilt = true;
+            close(false, why);
+        }
+    }
+
     private void received(ShardFrame frame) {
         heardAt = owner.now();
         doubtful = false;
+        if (over) {
+            return;
+        }
         if (frame instanceof ShardFrame.Ended ended) {
-            calledOff.remove(ended.partId());
             Flight flight = flights.remove(ended.partId());
+            if (flight == null && calledOff.remove(ended.partId()) == null) {
+                unreadable("the end of a part that isn't out");
+                return;
+            }
             idle();
             if (flight != null) {
                 owner.ended(flight.dispatch, switch (ended.end()) {
@@ -231,6 +253,10 @@
         if (socket == null) {
             return;
         }
+        if (reader.stalled(now, silenceMs)) {
+            unreadable("a frame that doesn't end");
+            return;
+        }
         boolean unheard = flights.values().stream()
                 .anyMatch(flight -> flight.writtenAt >= heardAt && now - flight.writtenAt > silenceMs);
         doubtful |= unheard;
--- a/src/test/java/sprucehold/BrainTest.java
+++ b/src/test/java/sprucehold/BrainTest.java
@@ -635,8 +635,102 @@
             play.scan("f" + i, Play.ALL, 1, 4000);
             play.end("f" + i + "/0", 0, Ending.ERROR);
             play.end("f" + i + "/0", 1, Ending.ERROR);
+            play.now++;
         }
         play.scan("s", Play.ALL, 1, 4000);
         assertEquals(play.dispatches().containsKey("s/0"), !many);
     }
+
+    @DataProvider
+    Object[][] alarms() {
+        return new Object[][] {{500, true}, {509, true}, {560, false}};
+    }
+
+    /** A gatherer that was held up itself may have answers lying unread; what it then sees late isn't the server's. */
+    @Test(dataProvider = "alarms")
+    public void alarmThatComesLateItselfMakesNoPartLate(double wokenAfter, boolean copied) {
+        Play play = fresh().start();
+        play.scan("s", Play.ALL, 1, 4000);
+        play.now += wokenAfter;
+        play.tell(new Event.Woken());
+        assertEquals(play.dispatches().get("s/0").size(), copied ? 2 : 1);
+        play.now += 65;
+        play.tell(new Event.Woken());
+        assertEquals(play.dispatches().get("s/0").size(), 2);
+    }
+
+    /** Each call while a scan waits for room set a further alarm, and each of those a next: all time went into them. */
+    @Test
+    public void waitingScansAreLookedAtAgainNoMoreOftenForAllThatHappensMeanwhile() {
+        Play play = fresh().start();
+        for (int cell = 0; cell < 4; cell++) {
+            play.tell(new Event.ListReceived(false,
+                    List.of(Play.listing("abcd".substring(cell, cell + 1), cell, 0, Listing.Mode.DRAINING))));
+        }
+        play.scan("s", Play.ALL, 1, 4000);
+        for (int i = 0; i < 100; i++) {
+            play.now++;
+            play.tell(new Event.ClientLeft("nobody"));
+        }
+        play.done.clear();
+        play.waitFor(100);
+        assertTrue(play.all(Action.Wake.class).size() <= 5, play.all(Action.Wake.class).size() + " wakes in 100 ms");
+    }
+
+    private Play threeOutAtOneServer(Ending ending, double apart) {
+        Play play = fresh().start();
+        var out = new ArrayList<Event>();
+        for (int i = 0; out.size() < 3; i++) {
+            play.done.clear();
+            play.scan("f" + i, Play.ALL, 4, 4000);
+            for (var sent : List.copyOf(play.dispatches().entrySet())) {
+                if (sent.getValue().get(0).equals("a") && out.size() < 3) {
+                    out.add(new Event.DispatchEnded(sent.getKey(), 0, ending, 50, null));
+                } else {
+                    play.end(sent.getKey(), 0, Ending.COMPLETED);
+                }
+            }
+        }
+        play.done.clear();
+        out.forEach(ended -> {
+            play.tell(ended);
+            play.now += apart;
+        });
+        // What went out again is completed elsewhere.
+        List.copyOf(play.dispatches().keySet()).forEach(part -> play.end(part, 1, Ending.COMPLETED));
+        return play;
+    }
+
+    @DataProvider
+    Object[][] together() {
+        return new Object[][] {{Ending.RESET, 0, false}, {Ending.ERROR, 0, false}, {Ending.RESET, 1, true},
+            {Ending.ERROR, 1, true}, {Ending.UNCONNECTED, 0, true}};
+    }
+
+    /** One answer that can't be read ends all that is out on its connection. */
+    @Test(dataProvider = "together")
+    public void partsThatEndTogetherAreOneFailureOfTheirServer(Ending ending, double apart, boolean aside) {
+        assertEquals(askedAfter(threeOutAtOneServer(ending, apart), "busy", false), !aside);
+    }
+
+    @DataProvider
+    Object[][] returns() {
+        return new Object[][] {{29_000, false}, {31_000, true}};
+    }
+
+    /** Fleets that are replaced by servers of new names must leave nothing behind; one that blinks is known again. */
+    @Test(dataProvider = "returns")
+    public void serverGoneForLongIsForgotten(double goneFor, boolean forgotten) {
+        Play play = threeOutAtOneServer(Ending.ERROR, 1);
+        play.tell(new Event.ListReceived(false, List.of(Play.listing("a", 0, 0, Listing.Mode.GONE))));
+        play.waitFor(goneFor);
+        play.tell(new Event.ListReceived(false, List.of(Play.listing("b", 1, 0, Listing.Mode.RUNNING))));
+        play.tell(new Event.ListReceived(false, List.of(Play.listing("a", 0, 0, Listing.Mode.RUNNING))));
+        // Three failures in its books count as three parts out.
+        play.done.clear();
+        for (int i = 0; i < 3; i++) {
+            play.scan("s" + i, Play.ALL, 1, 4000);
+        }
+        assertEquals(play.all(Action.Dispatch.class).stream().anyMatch(d -> d.server().equals("a")), forgotten);
+    }
 }
