--- a/src/main/java/sprucehold/clients/ScanReader.java
+++ b/src/main/java/sprucehold/clients/ScanReader.java
@@ -1,18 +1,29 @@
 package sprucehold.clients;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadFeature;
+import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
 import io.vertx.core.MultiMap;
+import java.nio.ByteBuffer;
+import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import sprucehold.picker.Scan;
 
 /** Reads a client's scan from its headers and body. */
 final class ScanReader {
-    private static final ObjectMapper MAPPER = new ObjectMapper();
+    /** Nothing is guessed: what two readers might take differently is no request. */
+    private static final ObjectMapper MAPPER = JsonMapper.builder()
+            .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+            .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION).build();
+
+    private static final List<String> ONCE = List.of("X-Request-Id", "X-Class", "X-Tenant", "X-Deadline-Ms");
 
     private final int segments;
 
@@ -31,6 +42,11 @@
 
     /** {@code spentMs} is how much of the client's time went by since the request began to come in. */
     Scan read(String tableType, MultiMap headers, byte[] body, double spentMs) throws MalformedException {
+        for (String name : ONCE) {
+            if (headers.getAll(name).size() > 1) {
+                throw new MalformedException(name + " must stand once");
+            }
+        }
         String id = headers.get("X-Request-Id");
         if (id == null || !id.matches("[!-~]{1,128}")) {
             throw new MalformedException("X-Request-Id must be 1 to 128 visible characters");
@@ -44,8 +60,8 @@
         }
         JsonNode node;
         try {
-            node = MAPPER.readTree(new String(body, StandardCharsets.UTF_8));
-        } catch (JsonProcessingException e) {
+            node = MAPPER.readTree(StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(body)).toString());
+        } catch (JsonProcessingException | CharacterCodingException e) {
             throw new MalformedException("the body is not JSON");
         }
         JsonNode buckets = node.path("buckets");
@@ -55,7 +71,11 @@
         var parts = new ArrayList<Scan.Part>(buckets.size());
         double whole = 0;
         for (JsonNode bucket : buckets) {
-            whole += bucket.path("part").asDouble(0);
+            double weight = bucket.path("part").isNumber() ? bucket.get("part").doubleValue() : -1;
+            if (!(weight > 0 && weight <= 1)) {
+                throw new MalformedException("each part must be a share of the whole");
+            }
+            whole += weight;
         }
         if (!(Math.abs(whole - 1) < 0.01)) {
             throw new MalformedException("the parts must add up to 1");
@@ -63,15 +83,11 @@
         Set<Integer> seen = new HashSet<>();
         for (JsonNode bucket : buckets) {
             int segment = bucket.path("bucket").isInt() ? bucket.get("bucket").intValue() : -1;
-            double weight = bucket.path("part").asDouble(-1);
             if (segment < 0 || segment >= segments || !seen.add(segment)) {
                 throw new MalformedException("each bucket must be one of " + segments + " and stand once");
             }
-            if (weight < 0) {
-                throw new MalformedException("each part must be a share of the whole");
-            }
             // Shares that were rounded on the way still make a whole.
-            parts.add(new Scan.Part(segment, weight / whole));
+            parts.add(new Scan.Part(segment, bucket.get("part").doubleValue() / whole));
         }
         return new Scan(id, tableType, headers.get("X-Tenant"),
                 Math.max(0, Double.parseDouble(deadline) - spentMs), parts,
--- a/src/main/java/sprucehold/node/Leave.java
+++ b/src/main/java/sprucehold/node/Leave.java
@@ -11,8 +11,8 @@
 record Leave(long serveMs, long closeMs, double killMs) {
     /** New connections may still come for 0.4 s, and be slow by as much again. */
     private static final long COMING_MS = 700;
-    /** Answers get this long to be written out. */
-    private static final double WAY_MS = 200;
+    /** The signal may be taken up so late, and answers have to be written out. */
+    private static final double WAY_MS = 300;
 
     /** At once, for a gatherer that nobody asks any more. */
     static final Leave NOW = new Leave(1, 1, Double.POSITIVE_INFINITY);
@@ -20,7 +20,7 @@
     /** SIGKILL follows no sooner than the longest query timeout, counted as 3 s where it is longer, and 0.7 s. */
     static Leave within(double longestTimeoutMs) {
         double killMs = Math.min(longestTimeoutMs, 3000) + COMING_MS;
-        return new Leave((long) Math.max(400, killMs - 450), (long) Math.max(COMING_MS, killMs - 300), killMs);
+        return new Leave((long) Math.max(400, killMs - 550), (long) Math.max(COMING_MS, killMs - 400), killMs);
     }
 
     /** The most time that a scan taken after so long may get. */
--- a/src/test/java/sprucehold/clients/ScanReaderTest.java
+++ b/src/test/java/sprucehold/clients/ScanReaderTest.java
@@ -23,7 +23,8 @@
         if (deadline != null) {
             headers.add("X-Deadline-Ms", deadline);
         }
-        return new ScanReader(10).read("q", headers, body.getBytes(StandardCharsets.UTF_8), 30);
+        // A single byte for what isn't ASCII, which is no UTF-8.
+        return new ScanReader(10).read("q", headers, body.getBytes(StandardCharsets.ISO_8859_1), 30);
     }
 
     private static String body(String buckets) {
@@ -43,6 +44,13 @@
             {"s", "q", "9", body("{\"bucket\":1,\"part\":0.5},{\"bucket\":1,\"part\":0.5}")},
             {"s", "q", "9", body("{\"bucket\":1}")}, {"s", "q", "9", body("{\"bucket\":1,\"part\":0.5}")},
             {"s", "q", "9", body("{\"bucket\":1,\"part\":1.5},{\"bucket\":2,\"part\":-0.5}")},
+            {"s", "q", "9", body("{\"bucket\":1,\"part\":\"1\"}")}, {"s", "q", "9", body("{\"bucket\":1,\"part\":true}")},
+            {"s", "q", "9", body("{\"bucket\":\"1\",\"part\":1}")}, {"s", "q", "9", body("{\"bucket\":1,\"part\":NaN}")},
+            {"s", "q", "9", body("{\"bucket\":1,\"part\":1},{\"bucket\":2,\"part\":0}")},
+            {"s", "q", "9", body("{\"bucket\":1,\"bucket\":2,\"part\":1}")}, {"s", "q", "9", body("[1]")},
+            {"s", "q", "9", body(PART) + "{}"}, {"s", "q", "9", body(PART) + " x"}, {"s", "q", "9", "\ufeff" + body(PART)},
+            {"s", "q", "9", body(PART).replace("c4", "\u00e9")}, {"s", "q", "1e3", body(PART)},
+            {"s\r\nt", "q", "9", body(PART)}, {"s", "q", "99999999999", body(PART)},
         };
     }
 
@@ -51,6 +59,17 @@
         assertThrows(ScanReader.MalformedException.class, () -> read(id, tableType, deadline, body));
     }
 
+    @Test
+    public void headerThatStandsTwiceIsRefused() {
+        for (String name : List.of("X-Request-Id", "X-Class", "X-Tenant", "X-Deadline-Ms")) {
+            MultiMap headers = MultiMap.caseInsensitiveMultiMap().add("X-Request-Id", "s").add("X-Class", "q")
+                    .add("X-Tenant", "acme").add("X-Deadline-Ms", "9");
+            headers.add(name, headers.get(name));
+            assertThrows(ScanReader.MalformedException.class,
+                    () -> new ScanReader(10).read("q", headers, body(PART).getBytes(StandardCharsets.UTF_8), 0));
+        }
+    }
+
     @Test
     public void scanIsReadWithItsSharesMadeWhole() throws Exception {
         Scan scan = read("s", "q", "480", "{\"more\":1,\"buckets\":[{\"bucket\":3,\"part\":0.333,\"effort\":9000},"
