Rehearse new connections in the warm-up; trim connections only once they have been read

At fault: the warm-up opened four connections in all, and ClientConnections.opened closed the longest new one before its request had been read.

--- a/src/main/java/sprucehold/clients/ClientConnections.java
+++ b/src/main/java/sprucehold/clients/ClientConnections.java
@@ -42,19 +42,24 @@
         this.clock = clock;
     }
 
-    /** Takes a connection in. Beyond the most, one that nothing is lost with has to go for it, or it goes itself. */
-    void opened(HttpConnection connection) {
+    /** Takes a connection in; true if there are too many now and {@link #trim} is due once they have been read. */
+    boolean opened(HttpConnection connection) {
         all.put(connection, new State(clock.getAsDouble()));
+        fresh.add(connection);
         connection.closeHandler(none -> forget(connection));
-        if (all.size() > most) {
-            // The longest new one: who means to ask does so at once, so it stands there to say nothing.
-            HttpConnection goes = !fresh.isEmpty() ? fresh.iterator().next()
-                    : !kept.isEmpty() && idleFor(kept.iterator().next()) >= KEPT_CROWDED_MS ? kept.iterator().next()
-                    : connection;
-            drop(goes);
+        return all.size() > most;
+    }
+
+    /**
+     * Closes what is beyond the most: the longest new ones first, since who means to ask does so at once and they
+     * stand there to say nothing, then kept ones that may be closed by now.
+     */
+    void trim() {
+        while (all.size() > most && !fresh.isEmpty()) {
+            drop(fresh.iterator().next());
         }
-        if (all.containsKey(connection)) {
-            fresh.add(connection);
+        while (all.size() > most && !kept.isEmpty() && idleFor(kept.iterator().next()) >= KEPT_CROWDED_MS) {
+            drop(kept.iterator().next());
         }
     }
 
--- a/src/main/java/sprucehold/clients/ClientServer.java
+++ b/src/main/java/sprucehold/clients/ClientServer.java
@@ -40,6 +40,7 @@
     /** Answers that aren't written out. */
     private int writing;
     private boolean draining;
+    private boolean trimming;
 
     /** {@code most} is how many connections clients may hold. */
     public ClientServer(Vertx vertx, int segments, int most, Desk desk, DoubleSupplier clock) {
@@ -54,7 +55,14 @@
             connection.exceptionHandler(failure -> LOG.log(Level.FINE, "client connection", failure));
             ((HttpServerConnection) connection).channelHandlerContext().pipeline()
                     .replace("httpDecoder", "httpDecoder", new StrictDecoder(options));
-            connections.opened(connection);
+            if (connections.opened(connection) && !trimming) {
+                trimming = true;
+                // A pass over the sockets later, so that what they have sent is read: a burst isn't a flood.
+                vertx.setTimer(1, timer -> {
+                    trimming = false;
+                    connections.trim();
+                });
+            }
         });
         server.exceptionHandler(failure -> LOG.log(Level.FINE, "client connection", failure));
         server.requestHandler(this::requested);
--- a/src/main/java/sprucehold/node/WarmUp.java
+++ b/src/main/java/sprucehold/node/WarmUp.java
@@ -4,7 +4,9 @@
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetSocket;
+import io.vertx.core.net.SocketAddress;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -13,6 +15,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import sprucehold.discovery.ListNews;
@@ -33,6 +36,8 @@
     /** Whoever waits for this gatherer waits no longer for it. */
     private static final long LONGEST_MS = 6000;
     private static final int CLIENTS = 4;
+    /** Whoever finds a gatherer back after a restart comes on a new connection, so those are rehearsed as well. */
+    private static final int SCANS_A_CONNECTION = 3;
 
     private final Vertx vertx = Service.vertx();
     private final Seat seat;
@@ -96,7 +101,7 @@
                 .compose(listening -> {
                     var asking = new ArrayList<Future<Void>>();
                     for (int i = 0; i < CLIENTS; i++) {
-                        asking.add(vertx.createNetClient().connect(clients.socket()).compose(this::ask));
+                        asking.add(ask(vertx.createNetClient(), clients.socket()));
                     }
                     return Future.all(asking);
                 })
@@ -104,26 +109,33 @@
         return done.future();
     }
 
-    /** Asks one scan after the other. */
-    private Future<Void> ask(NetSocket socket) {
-        Promise<Void> done = Promise.promise();
-        socket.closeHandler(none -> done.tryComplete());
-        socket.handler(bytes -> {
-            // The end of an answer's body, completed or not.
-            byte last = bytes.getByte(bytes.length() - 1);
-            if (last == '}' || last == '\n') {
-                next(socket);
-            }
-        });
-        next(socket);
-        return done.future();
+    /** Asks one scan after the other, some on each connection. */
+    private Future<Void> ask(NetClient client, SocketAddress at) {
+        if (asked >= SCANS) {
+            return Future.succeededFuture();
+        }
+        return client.connect(at).compose(socket -> {
+            Promise<Void> done = Promise.promise();
+            var answers = new AtomicInteger();
+            socket.closeHandler(none -> done.tryComplete());
+            socket.handler(bytes -> {
+                // The end of an answer's body, completed or not.
+                byte last = bytes.getByte(bytes.length() - 1);
+                if (last != '}' && last != '\n') {
+                    return;
+                }
+                if (answers.incrementAndGet() == SCANS_A_CONNECTION) {
+                    socket.close();
+                } else {
+                    next(socket);
+                }
+            });
+            next(socket);
+            return done.future();
+        }).compose(closed -> ask(client, at));
     }
 
     private void next(NetSocket socket) {
-        if (asked == SCANS) {
-            socket.close();
-            return;
-        }
         asked++;
         List<TableType> types = seat.facts().deployment().tableTypes();
         TableType type = types.get(asked % types.size());
