--- a/src/main/java/sprucehold/Brain.java
+++ b/src/main/java/sprucehold/Brain.java
@@ -51,6 +51,7 @@
     private final List<Scan> waiting = new ArrayList<>();
     private final List<Part> waitingParts = new ArrayList<>();
     private double lookAgainAt;
+    private double lookedAt;
     private final Map<String, Srv> srvsById = new TreeMap<>();
     /** The listed servers of each cell, in the order of their ids: the same at every gatherer. */
     private final List<List<Srv>> cells = new ArrayList<>();
@@ -98,7 +99,7 @@
             return secondStep ? parts.size() : (int) Math.ceil(type.completeFrom() * parts.size() - 1e-6);
         }
 
-        /** The share of the weight below which no answer may be given. */
+            /** The share of the weight below which no answer may be given. */
         double least() {
             return secondStep && type.leastShare() >= type.completeFrom() ? 1 : type.leastShare();
         }
@@ -320,14 +321,16 @@
 
     private void startWaiting() {
         int inVain = 0;
+        boolean all = now >= lookedAt + facts.tickMs();
+        lookedAt = all ? now : lookedAt;
         for (var scans = waiting.iterator(); scans.hasNext();) {
             Scan scan = scans.next();
             // A quarter of the target time leaves half for a round and some to spare for a further dispatch.
             double patience = Math.min(scan.type.targetMs(), scan.endsAt - scan.takenAt) / 4;
             boolean patient = scan.secondStep || now < scan.takenAt + patience;
-            // After sixteen in vain there is hardly room for others: a flood mustn't cost more to look
-            // through than to serve.
-            if (!scan.over && patient && inVain < 16 && !start(scan)) {
+            // Once a tick, and after two in vain no more: waiting mustn't cost more than serving.
+            boolean look = all || !scan.counted || scan.secondStep;
+            if (!scan.over && patient && inVain < 2 && look && !start(scan)) {
                 inVain++;
             } else if (!scan.over && !patient) {
                 throttle(scan);
@@ -534,8 +537,7 @@
     private void failed(Srv srv, boolean unreachable) {
         srv.failuresInRow++;
         srv.failedAt = now;
-        // Three in a row: one may be chance, two a pause; a quiet gatherer can't wait for more. A server that
-        // can't be reached is down or full, and there is nothing to wait for.
+        // Three in a row: one may be chance, two a pause; one that can't be reached is down or full at once.
         if ((srv.failuresInRow >= 3 || unreachable) && now >= srv.asideUntil) {
             // A second at first, twice as long each time it comes to nothing, up to four.
             srv.asideMs = Math.min(4000, Math.max(1000, 2 * srv.asideMs));
@@ -573,10 +575,9 @@
     // ---- Cold budget ----
 
     private double coldShare(Srv srv) {
-        double age = now - srv.startedAt;
         var rule = facts.coldRule();
-        double warmth = srv.startedAt <= 0 ? 1 : Math.min(1, Math.max(0, age) / rule.warmAfterMs());
-        return rule.startShare() + (1 - rule.startShare()) * warmth;
+        double warmth = Math.min(1, Math.max(0, now - srv.startedAt) / rule.warmAfterMs());
+        return srv.startedAt <= 0 ? 1 : rule.startShare() + (1 - rule.startShare()) * warmth;
     }
 
     private double workOf(TableType type) {
@@ -769,8 +770,7 @@
             }
             Srv other = copyRoom < 1 || pressure > 0.1 ? null : leastLoaded(part);
             // Only to a server that has nothing of ours, or it makes others late. But a part that later ones
-            // have overtaken is lost on the way and goes wherever there is room: needless where servers don't
-            // keep turns.
+            // have overtaken is lost on the way and goes wherever there is room.
             Sent last = part.sent.get(part.sent.size() - 1);
             boolean overtaken = last.overdue && last.srv.answeredOfAt > last.at;
             if (other == null || !other.out.isEmpty() && !overtaken) {
--- a/src/test/java/sprucehold/BrainTest.java
+++ b/src/test/java/sprucehold/BrainTest.java
@@ -677,6 +677,28 @@
         assertTrue(play.all(Action.Wake.class).size() <= 5, play.all(Action.Wake.class).size() + " wakes in 100 ms");
     }
 
+    /** A flood of scans without room cost more to look through, at each call, than to serve. */
+    @Test
+    public void waitingScansAreLookedThroughOnceATick() {
+        Play play = fresh().start();
+        for (int i = 0; i < 12; i++) {
+            play.scan("s" + i, Play.ALL, 4, 4000);
+        }
+        play.now += 6;
+        play.tell(new Event.ClientLeft("nobody"));
+        play.done.clear();
+        play.now += 2;
+        // Room comes, and is seen with the next tick.
+        for (int i = 0; i < 4; i++) {
+            play.end("s0/" + i, 0, Ending.COMPLETED);
+            play.end("s1/" + i, 0, Ending.COMPLETED);
+        }
+        assertEquals(play.dispatches().size(), 0);
+        play.now += 4;
+        play.tell(new Event.ClientLeft("nobody"));
+        assertTrue(play.dispatches().size() > 0);
+    }
+
     private Play threeOutAtOneServer(Ending ending, double apart) {
         Play play = fresh().start();
         var out = new ArrayList<Event>();
