--- a/src/main/java/sprucehold/node/WarmUp.java
+++ b/src/main/java/sprucehold/node/WarmUp.java
@@ -32,7 +32,7 @@
 final class WarmUp {
     private static final Logger LOG = Logger.getLogger(WarmUp.class.getName());
     /** Most of what a scan runs is compiled by then. */
-    private static final int SCANS = 500;
+    private static final int SCANS = 300;
     /** Whoever waits for this gatherer waits no longer for it. */
     private static final long LONGEST_MS = 6000;
     private static final int CLIENTS = 4;
