Lay the repository out as one reactor with arrows pointing down

Need: subsystems of some thousands of lines need modules of their own, and the lean jar must stay lean. Change: core (port, facts, picker, brain), standin, trace, gatherer and cli as modules, all by moves; Brain in a package of its own, so that nothing lies in the root package; bin/sprucehold for people; ArchUnit holds the arrows, no circle, and core without sockets, files, clocks, threads and unseeded chance.

--- /dev/null
+++ b/cli/src/test/java/sprucehold/ArchitectureTest.java
@@ -0,0 +1,76 @@
+package sprucehold;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.lang.ArchRule;
+import org.testng.Assert;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public class ArchitectureTest {
+    private static final JavaClasses ALL = new ClassFileImporter()
+            .withImportOption(new ImportOption.DoNotIncludeTests()).importPackages("sprucehold");
+
+    private static final String[] CORE = {"sprucehold.port..", "sprucehold.facts..", "sprucehold.picker..",
+        "sprucehold.brain.."};
+    private static final String[] TRACE = {"sprucehold.trace.."};
+    private static final String[] STANDIN = {"sprucehold.standin.."};
+    private static final String[] GATHERER = {"sprucehold.node..", "sprucehold.clients..", "sprucehold.shards..",
+        "sprucehold.discovery..", "sprucehold.drill..", "sprucehold.command.."};
+    private static final String[] CLI = {"sprucehold.cli.."};
+
+    private static String[] join(String[]... groups) {
+        return java.util.Arrays.stream(groups).flatMap(java.util.Arrays::stream).toArray(String[]::new);
+    }
+
+    @DataProvider
+    Object[][] rules() {
+        return new Object[][] {
+            {"no circle of packages", slices().matching("sprucehold.(**)").should().beFreeOfCycles()},
+            {"core is below all", noClasses().that().resideInAnyPackage(CORE).should().dependOnClassesThat()
+                    .resideInAnyPackage(join(TRACE, STANDIN, GATHERER, CLI))},
+            {"stand-ins are above core alone", noClasses().that().resideInAnyPackage(STANDIN).should()
+                    .dependOnClassesThat().resideInAnyPackage(join(TRACE, GATHERER, CLI))},
+            {"trace is above core alone", noClasses().that().resideInAnyPackage(TRACE).should()
+                    .dependOnClassesThat().resideInAnyPackage(join(STANDIN, GATHERER, CLI))},
+            {"the gatherer is below the command line", noClasses().that().resideInAnyPackage(GATHERER).should()
+                    .dependOnClassesThat().resideInAnyPackage(CLI)},
+            {"nothing imports the root package", noClasses().should().dependOnClassesThat()
+                    .resideInAPackage("sprucehold")},
+            {"the decisions are handed over, not named", noClasses().that()
+                    .resideOutsideOfPackages("sprucehold.brain..", "sprucehold.command..", "sprucehold.cli..").should()
+                    .dependOnClassesThat().resideInAPackage("sprucehold.brain..")},
+            {"core has no sockets, files or threads", noClasses().that().resideInAnyPackage(CORE).should()
+                    .dependOnClassesThat().resideInAnyPackage("java.net..", "java.nio.file..", "java.nio.channels..",
+                            "java.util.concurrent..", "java.util.zip..", "io.vertx..", "io.netty..")},
+            {"core has no files by the older way", noClasses().that().resideInAnyPackage(CORE).should()
+                    .dependOnClassesThat().haveNameMatching("java\\.io\\.(File|FileReader|FileWriter|File.*Stream|"
+                            + "RandomAccessFile)")},
+            {"core has no threads", noClasses().that().resideInAnyPackage(CORE).should().dependOnClassesThat()
+                    .haveNameMatching("java\\.lang\\.(Thread|Runtime|ProcessBuilder)|java\\.util\\.Timer")},
+            {"core reads no clock", noClasses().that().resideInAnyPackage(CORE).should()
+                    .callMethod(System.class, "currentTimeMillis").orShould().callMethod(System.class, "nanoTime")
+                    .orShould().dependOnClassesThat().resideInAPackage("java.time..")},
+            {"core has no chance without a seed", noClasses().that().resideInAnyPackage(CORE).should()
+                    .callConstructor(java.util.Random.class).orShould().callMethod(Math.class, "random")},
+            {"pure parts of the trace have no files or threads", noClasses().that()
+                    .resideInAnyPackage("sprucehold.trace.event..", "sprucehold.trace.story..").should()
+                    .dependOnClassesThat().resideInAnyPackage("java.nio.file..", "java.nio.channels..",
+                            "java.util.concurrent..").allowEmptyShould(true)},
+        };
+    }
+
+    @Test(dataProvider = "rules")
+    public void holds(String what, ArchRule rule) {
+        rule.as(what).check(ALL);
+    }
+
+    @Test
+    public void theRulesLookAtSomething() {
+        Assert.assertTrue(ALL.contain("sprucehold.brain.Brain") && ALL.contain("sprucehold.cli.Sprucehold"));
+    }
+}
--- a/src/main/java/sprucehold/Brain.java
+++ b/core/src/main/java/sprucehold/brain/Brain.java
@@ -1,4 +1,4 @@
-package sprucehold;
+package sprucehold.brain;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
--- a/src/test/java/sprucehold/BrainTest.java
+++ b/core/src/test/java/sprucehold/brain/BrainTest.java
@@ -1,4 +1,4 @@
-package sprucehold;
+package sprucehold.brain;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
--- a/src/main/java/sprucehold/Main.java
+++ b/gatherer/src/main/java/sprucehold/command/Main.java
@@ -1,4 +1,4 @@
-package sprucehold;
+package sprucehold.command;
 
 import java.io.IOException;
 import java.nio.file.NoSuchFileException;
@@ -8,13 +8,14 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.IVersionProvider;
 import picocli.CommandLine.Option;
+import sprucehold.brain.Brain;
 import sprucehold.drill.Drill;
 import sprucehold.node.Rehearsal;
 import sprucehold.node.Seat;
 import sprucehold.node.Service;
 import sprucehold.node.ServiceLogManager;
 
-/** The command line. */
+/** The commands of a gatherer; what its lean jar holds. */
 @Command(name = "sprucehold", description = "The root node (gatherer) of a sharded search service.",
         mixinStandardHelpOptions = true, versionProvider = Main.Version.class, synopsisSubcommandLabel = "COMMAND",
         subcommands = {Main.Serve.class, Main.DrillCommand.class, Main.Check.class,
@@ -24,9 +25,7 @@
     }
 
     public static void main(String[] args) {
-        // Before the first logger is made.
-        System.setProperty("java.util.logging.manager", ServiceLogManager.class.getName());
-        System.setProperty("java.util.logging.SimpleFormatter.format", "%1$tFT%1$tT.%1$tL %4$s %5$s%6$s%n");
+        prepareLog();
         int exit = commandLine().execute(args);
         // A command that serves has returned, and its event loop keeps the process.
         if (exit != CommandLine.ExitCode.OK) {
@@ -34,8 +33,18 @@
         }
     }
 
+    /** Sets the log's form; to be called before the first logger is made. */
+    public static void prepareLog() {
+        System.setProperty("java.util.logging.manager", ServiceLogManager.class.getName());
+        System.setProperty("java.util.logging.SimpleFormatter.format", "%1$tFT%1$tT.%1$tL %4$s %5$s%6$s%n");
+    }
+
     static CommandLine commandLine() {
-        var line = new CommandLine(new Main());
+        return strict(new CommandLine(new Main()));
+    }
+
+    /** Says what can't be done in one line on standard error, and by the exit code: 2 for bad usage, else 1. */
+    public static CommandLine strict(CommandLine line) {
         line.setParameterExceptionHandler((e, arguments) -> {
             System.err.println("sprucehold: " + e.getMessage());
             return CommandLine.ExitCode.USAGE;
@@ -48,7 +57,8 @@
         return line;
     }
 
-    static final class Version implements IVersionProvider {
+    /** The version of the jar that runs. */
+    public static final class Version implements IVersionProvider {
         @Override
         public String[] getVersion() {
             String version = Main.class.getPackage().getImplementationVersion();
@@ -81,7 +91,7 @@
     }
 
     @Command(name = "serve", description = "Runs one gatherer on sockets.", mixinStandardHelpOptions = true)
-    static final class Serve implements Callable<Integer> {
+    public static final class Serve implements Callable<Integer> {
         @CommandLine.Mixin
         private Place place;
 
@@ -94,7 +104,7 @@
 
     @Command(name = "check", description = "Reads what a gatherer would be told, and says what it understood.",
             mixinStandardHelpOptions = true)
-    static final class Check implements Callable<Integer> {
+    public static final class Check implements Callable<Integer> {
         @CommandLine.Mixin
         private Place place;
 
@@ -107,7 +117,7 @@
 
     @Command(name = "rehearse", description = "Tries a gatherer among stand-ins on free ports of this machine: a scan "
             + "of each table type; exit 1 unless all are answered.", mixinStandardHelpOptions = true)
-    static final class Rehearse implements Callable<Integer> {
+    public static final class Rehearse implements Callable<Integer> {
         @CommandLine.Mixin
         private Place place;
 
@@ -120,7 +130,7 @@
 
     @Command(name = "stand-in", description = "Stands in for the discovery and the shard servers that a gatherer would "
             + "be told of, on their addresses.", mixinStandardHelpOptions = true)
-    static final class StandIn implements Callable<Integer> {
+    public static final class StandIn implements Callable<Integer> {
         @CommandLine.Mixin
         private Place place;
 
@@ -133,7 +143,7 @@
 
     @Command(name = "drill", description = "Runs many gatherers on the bench's wire, on standard input and output.",
             mixinStandardHelpOptions = true)
-    static final class DrillCommand implements Callable<Integer> {
+    public static final class DrillCommand implements Callable<Integer> {
         @Override
         public Integer call() throws IOException {
             new Drill(Brain::new).run(System.in, System.out);
@@ -142,7 +152,7 @@
     }
 
     @Command(name = "version", description = "Prints the version.", mixinStandardHelpOptions = true)
-    static final class VersionCommand implements Runnable {
+    public static final class VersionCommand implements Runnable {
         @Override
         public void run() {
             System.out.println(new Version().getVersion()[0]);
--- a/src/test/java/sprucehold/MainTest.java
+++ b/gatherer/src/test/java/sprucehold/command/MainTest.java
@@ -1,4 +1,4 @@
-package sprucehold;
+package sprucehold.command;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
--- a/src/test/java/sprucehold/DrillTest.java
+++ b/gatherer/src/test/java/sprucehold/drill/DrillTest.java
@@ -1,4 +1,4 @@
-package sprucehold;
+package sprucehold.drill;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertThrows;
@@ -12,8 +12,7 @@
 import java.util.List;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
-import sprucehold.drill.Drill;
-import sprucehold.drill.MalformedBatchException;
+import sprucehold.brain.Brain;
 import sprucehold.port.Action;
 import sprucehold.port.Event;
 import sprucehold.port.Gatherer;
--- /dev/null
+++ b/trace/src/main/java/sprucehold/trace/package-info.java
@@ -0,0 +1,2 @@
+/** Trace files. */
+package sprucehold.trace;
