Let every action of the module say why, and a dispatch whom it passed over

Need: when a scan fails nobody can tell what was decided and why; the trace records what passes the module's door. Change: port has typed reasons and causes; a dispatch names its scan's position and the holders passed over, a cancel, an end and a call for the list their reason. passedOver asks only what was asked the same moment, so that no lot is drawn for it.

--- a/core/src/main/java/sprucehold/brain/Brain.java
+++ b/core/src/main/java/sprucehold/brain/Brain.java
@@ -19,6 +19,8 @@
 import sprucehold.port.Event;
 import sprucehold.port.Gatherer;
 import sprucehold.port.Listing;
+import sprucehold.port.PassedOver;
+import sprucehold.port.Reason;
 import sprucehold.port.TableType;
 
 /**
@@ -77,11 +79,7 @@
         List<Part> parts = new ArrayList<>();
         List<Round> rounds = new ArrayList<>();
         int position;
-        boolean overShare;
-        boolean counted;
-        boolean admitted;
-        boolean secondStep;
-        boolean over;
+        boolean overShare, counted, admitted, secondStep, over;
 
         Scan(Event.ScanTaken taken, double now, double endsAt) {
             this.taken = taken;
@@ -99,7 +97,7 @@
             return secondStep ? parts.size() : (int) Math.ceil(type.completeFrom() * parts.size() - 1e-6);
         }
 
-            /** The share of the weight below which no answer may be given. */
+        /** The share of the weight below which no answer may be given. */
         double least() {
             return secondStep && type.leastShare() >= type.completeFrom() ? 1 : type.leastShare();
         }
@@ -124,10 +122,7 @@
         final double weight;
         final List<Sent> sent = new ArrayList<>();
         Round round;
-        boolean completed;
-        boolean mayHaveRun;
-        boolean broken;
-        boolean past;
+        boolean completed, mayHaveRun, broken, past;
 
         Part(Event.PartTaken taken, Scan scan) {
             this.id = taken.id();
@@ -144,10 +139,8 @@
     /** The parts that one round asked for; it ends when all are settled or its timer has run out. */
     private static final class Round {
         final List<Part> parts = new ArrayList<>();
-        int inTime;
-        int calledOff;
-        boolean over;
-        boolean timerOver;
+        int inTime, calledOff;
+        boolean over, timerOver;
     }
 
     private static final class Sent {
@@ -156,8 +149,7 @@
         final Srv srv;
         final double at;
         boolean out = true;
-        boolean overdue;
-        boolean calledOff;
+        boolean overdue, calledOff;
 
         Sent(Part part, Srv srv, double at) {
             this.part = part;
@@ -272,7 +264,7 @@
             } else if (event instanceof Event.DispatchEnded ended) {
                 dispatchEnded(ended);
             } else if (event instanceof Event.ClientLeft left) {
-                Optional.ofNullable(scansById.get(left.scanId())).ifPresent(this::close);
+                Optional.ofNullable(scansById.get(left.scanId())).ifPresent(scan -> close(scan, Reason.CLIENT_LEFT));
             } else if (event instanceof Event.ListReceived list) {
                 listReceived(list);
             } else if (event instanceof Event.ListUnavailable) {
@@ -310,11 +302,11 @@
         var scan = new Scan(taken, now, endsAt);
         scansById.put(taken.id(), scan);
         scansByNumber.put(taken.number(), scan);
-        at(endsAt, () -> end(scan));
+        at(endsAt, () -> end(scan, Reason.TIME_OVER));
         // An answer in part earns more in time than a whole one late.
         at(Math.min(endsAt, scan.targetAt() - 3 * facts.tickMs()), () -> {
             if (mayAnswer(scan)) {
-                end(scan);
+                end(scan, Reason.TARGET_TIME);
             }
         });
     }
@@ -333,7 +325,7 @@
             if (!scan.over && patient && inVain < 2 && look && !start(scan)) {
                 inVain++;
             } else if (!scan.over && !patient) {
-                throttle(scan);
+                throttle(scan, scan.overShare ? Reason.OVER_SHARE : Reason.NO_ROOM);
             }
             if (scan.over || scan.admitted || scan.secondStep) {
                 scans.remove();
@@ -344,7 +336,7 @@
         while (!waiting.isEmpty() && open > 0.9 * facts.limits().maxOpen()) {
             Scan least = waiting.remove(waiting.size() - 1);
             open -= 1 + least.parts.size();
-            throttle(least);
+            throttle(least, Reason.LEAST_BENEFIT);
         }
     }
 
@@ -369,7 +361,7 @@
         if (now < brokenUntil.getOrDefault(scan.taken.customer(), 0.0) && !scan.secondStep) {
             width = 1;
         }
-        sendRound(scan, Math.max(1, Math.min(k, width)));
+        sendRound(scan, Math.max(1, Math.min(k, width)), Reason.FIRST_ROUND);
         return true;
     }
 
@@ -403,7 +395,7 @@
         return out + srv.failuresInRow + (lateByZone.getOrDefault(srv.zone, 0.0) > 0.5 ? 1 : 0);
     }
 
-    private void sendRound(Scan scan, int width) {
+    private void sendRound(Scan scan, int width, Reason reason) {
         var round = new Round();
         scan.rounds.add(round);
         // Parts whose server has least to do go first: the ones left out are those likely to be late.
@@ -415,16 +407,15 @@
         long underWay = scan.parts.stream().filter(p -> p.completed || p.isOut()).count();
         for (Part part : unsent.subList(0, Math.min(width, unsent.size()))) {
             Srv srv = choose(part, scan.position);
-            // What a round asks for beyond the need doesn't queue at a server half of whose room is used:
-            // others may not be able to do without it, as when one cell has lost servers. It waits for a
-            // later round.
+            // What a round asks for beyond the need doesn't queue at a server half of whose room is used: others may
+            // not be able to do without it, as when one cell has lost servers. It waits for a later round.
             boolean busy = srv == null || outOfOthers(srv, scan) > 0 && srv.out.size() >= srv.room / 2;
             if (busy && underWay >= scan.needed()) {
                 break;
             }
             part.round = round;
             round.parts.add(part);
-            send(part, srv);
+            send(part, srv, reason);
             underWay++;
         }
         at(now + scan.type.targetMs() / 2, () -> roundTimer(scan, round));
@@ -451,11 +442,12 @@
         }
         int completed = scan.completed();
         int width = unsent.size();
-        if (round.parts.stream().anyMatch(p -> p.completed)) {
+        boolean empty = round.parts.stream().noneMatch(p -> p.completed);
+        if (!empty) {
             double share = (double) completed / (scan.parts.size() - unsent.size());
             width = (int) Math.max(1, Math.min(width, Math.round((scan.needed() - completed) / share)));
         }
-        sendRound(scan, width);
+        sendRound(scan, width, empty ? Reason.EMPTY_ROUND : Reason.LATER_ROUND);
     }
 
     // ---- Which holder ----
@@ -511,12 +503,34 @@
     }
 
     private boolean mayUse(Srv srv, Part part) {
-        Scan scan = part.scan;
+        return srv.running && now >= srv.asideUntil && hasRoom(srv, part.scan) && coldRoom(srv, part);
+    }
+
+    private boolean hasRoom(Srv srv, Scan scan) {
         // A scan beyond its customer's share gets only half the room, what it brings being so much less.
-        double room = scan.overShare ? srv.room / 2 : srv.room;
         // A round is never split for room: the scan's own parts don't count.
-        return srv.running && now >= srv.asideUntil && outOfOthers(srv, scan) < Math.max(1, room)
-                && coldRoom(srv, part);
+        return outOfOthers(srv, scan) < Math.max(1, scan.overShare ? srv.room / 2 : srv.room);
+    }
+
+    /** Whom a part was kept from, and why. Decides nothing: lots that it asks for were drawn this moment. */
+    private List<PassedOver> passedOver(Part part, Srv chosen) {
+        List<Srv> holders = holders(part.segment);
+        if (part.sent.isEmpty() && holders.get(part.scan.position % holders.size()) == chosen) {
+            return List.of();
+        }
+        var passed = new ArrayList<PassedOver>(holders.size());
+        for (Srv srv : holders) {
+            PassedOver.Cause cause = !srv.running ? PassedOver.Cause.DRAINING
+                    : part.sent.stream().anyMatch(s -> s.srv == srv) ? PassedOver.Cause.TRIED
+                    : now < srv.asideUntil ? PassedOver.Cause.SET_ASIDE
+                    : !hasRoom(srv, part.scan) ? PassedOver.Cause.NO_ROOM
+                    : !coldRoom(srv, part) ? PassedOver.Cause.COLD_BUDGET
+                    : suspect(srv) ? PassedOver.Cause.SUSPECT : null;
+            if (srv != chosen && cause != null) {
+                passed.add(new PassedOver(srv.id, cause));
+            }
+        }
+        return passed;
     }
 
     /** The share of each zone's parts that was late: trouble on the way there shows in a second. */
@@ -643,7 +657,7 @@
         srvsById.values().removeIf(srv -> srv.out.isEmpty() && !cells.get(srv.cell).contains(srv)
                 && Math.max(srv.answeredAt, srv.failedAt) < now - 30_000);
         if (first && facts.listAccess().mustAsk()) {
-            todo.add(new Action.FollowList());
+            todo.add(new Action.FollowList(Reason.FIRST_LIST));
         } else {
             listFailures = 0;
         }
@@ -653,7 +667,7 @@
         // Doubling and spread, not to flood a struggling list service; 4 s is well inside the time to ask.
         double wait = Math.min(4000, 250 * Math.pow(2, Math.min(listFailures++, 6)));
         wait = Math.min(wait, facts.listAccess().askWithinMs() / 2);
-        at(now + wait * (0.5 + chance.nextDouble()), () -> todo.add(new Action.FollowList()));
+        at(now + wait * (0.5 + chance.nextDouble()), () -> todo.add(new Action.FollowList(Reason.LIST_FAILED)));
     }
 
     // ---- Dispatches ----
@@ -664,13 +678,14 @@
     private double copyRoom = 5;
     private final List<Part> copiesWanted = new ArrayList<>();
 
-    private void send(Part part, Srv srv) {
+    private void send(Part part, Srv srv, Reason reason) {
         if (srv == null) {
             // No holder may be used now; one may turn up before the time is over.
             waitingParts.add(part);
             return;
         }
         var sent = new Sent(part, srv, now);
+        List<PassedOver> passedOver = passedOver(part, srv);
         // A fifth: enough for the shares of a fleet that fail at once, too little to double a full load.
         // At most ten, or half the parts of a large scan, many of which may be late together.
         if (sent.number > 0) {
@@ -683,7 +698,7 @@
         if (coldShare(srv) < 1) {
             srv.coldSends.add(new double[] {now, workOf(part.scan.type)});
         }
-        todo.add(new Action.Dispatch(part.id, srv.id, part.scan.endsAt - now));
+        todo.add(new Action.Dispatch(part.id, srv.id, part.scan.endsAt - now, reason, part.scan.position, passedOver));
         overdueAt(now + lateAfter(part.scan.type), sent);
     }
 
@@ -694,7 +709,7 @@
             if (held(part) && !part.scan.over) {
                 waitingParts.add(part);
             } else if (mayDispatch(part) && !part.isOut()) {
-                send(part, part.sent.isEmpty() ? choose(part, part.scan.position) : leastLoaded(part));
+                send(part, part.sent.isEmpty() ? choose(part, part.scan.position) : leastLoaded(part), again(part));
             }
         }
         if (now >= lookAgainAt && (!waitingParts.isEmpty() || !waiting.isEmpty())) {
@@ -704,10 +719,13 @@
         }
     }
 
+    private static Reason again(Part part) {
+        return part.sent.isEmpty() ? Reason.WAITED : part.mayHaveRun ? Reason.FURTHER_TRY : Reason.NEVER_RAN;
+    }
+
     private boolean mayDispatch(Part part) {
         Scan scan = part.scan;
-        int most = facts.limits().dispatchesPerPart();
-        if (scan.over || part.past || part.completed || part.sent.size() >= most) {
+        if (scan.over || part.past || part.completed || part.sent.size() >= facts.limits().dispatchesPerPart()) {
             return false;
         }
         if (part.sent.isEmpty()) {
@@ -728,9 +746,8 @@
     }
 
     /**
-     * A broken part goes again only once another of its scan is completed. Guards against scans that bring
-     * down the servers that begin them and would go on to the next; costs a sound scan the wait for its
-     * quickest part.
+     * A broken part goes again only once another of its scan is completed. Guards against scans that bring down
+     * the servers that begin them and would go on to the next; costs a sound scan the wait for its quickest part.
      */
     private boolean held(Part part) {
         return part.broken && part.scan.completed() == 0;
@@ -777,7 +794,7 @@
                 return false;
             }
             copyRoom--;
-            send(part, other);
+            send(part, other, Reason.SECOND_COPY);
             return true;
         });
     }
@@ -807,7 +824,7 @@
             }
             part.completed = true;
             if (wanted) {
-                callOff(part);
+                callOff(part, Reason.PART_COMPLETED);
                 settle(scan);
             }
         } else {
@@ -826,7 +843,7 @@
                 if (held(part)) {
                     waitingParts.add(part);
                 } else if (mayDispatch(part)) {
-                    send(part, leastLoaded(part));
+                    send(part, leastLoaded(part), again(part));
                 }
                 settle(scan);
             }
@@ -840,11 +857,11 @@
         }
     }
 
-    private void callOff(Part part) {
+    private void callOff(Part part, Reason reason) {
         for (Sent sent : part.sent) {
             if (sent.out && !sent.calledOff && facts.limits().cancel()) {
                 sent.calledOff = true;
-                todo.add(new Action.Cancel(part.id, sent.number));
+                todo.add(new Action.Cancel(part.id, sent.number, reason));
             }
         }
     }
@@ -860,15 +877,14 @@
             scan.counted = true;
             scan.overShare = customer != null && !spend(customer);
             if (crowded && tooMuch(scan)) {
-                throttle(scan);
+                throttle(scan, Reason.PRESSURE);
                 return Admission.NEVER;
             }
         }
-        // A client that more likely than not leaves before all needed parts are in only takes servers from
-        // others.
+        // A client that more likely than not leaves before all needed parts are in only takes servers from others.
         double usual = timesByType.get(scan.type).quantile(Math.pow(0.5, 1.0 / scan.needed()), 0);
         if (scan.endsAt < scan.targetAt() && scan.endsAt - now < usual) {
-            throttle(scan);
+            throttle(scan, Reason.CLIENT_TOO_SHORT);
             return Admission.NEVER;
         }
         scan.position = choosePosition(scan);
@@ -878,8 +894,7 @@
             Srv srv = choose(part, scan.position);
             double recently = now - scan.type.targetMs();
             if (crowded && srv != null && srv.failuresInRow > 1 && srv.failedAt > recently) {
-                // Every holder failed more than once and within a target time: the scan would most likely
-                // come late.
+                // Every holder failed more than once and within a target time: the scan would most likely come late.
                 return Admission.LATER;
             } else if (srv != null) {
                 wanted.merge(srv, 1, Integer::sum);
@@ -945,7 +960,7 @@
     private void settle(Scan scan) {
         double weight = scan.completedWeight();
         if (weight >= (scan.secondStep ? 1 : scan.type.completeFrom()) - 1e-6) {
-            answer(scan, true);
+            answer(scan);
             return;
         }
         boolean anyOut = scan.parts.stream().anyMatch(Part::isOut);
@@ -955,7 +970,7 @@
                 // Twenty seconds: a gatherer meets few such scans.
                 brokenUntil.put(scan.taken.customer(), now + 20_000);
             }
-            end(scan);
+            end(scan, Reason.ALL_BROKEN);
             return;
         }
         double possible = scan.parts.stream()
@@ -963,7 +978,7 @@
                 .mapToDouble(p -> p.weight).sum();
         // Nothing more can come, or not enough.
         if (possible < scan.least() - 1e-6 || possible <= weight) {
-            end(scan);
+            end(scan, possible < scan.least() - 1e-6 ? Reason.UNDER_LEAST : Reason.NOTHING_MORE);
             return;
         }
         Round round = scan.rounds.get(scan.rounds.size() - 1);
@@ -973,37 +988,34 @@
         }
     }
 
-    private void answer(Scan scan, boolean whole) {
-        todo.add(new Action.Answer(scan.taken.id(), whole));
-        if (whole && !scan.secondStep && scan.type.secondStepParts() > 0) {
+    private void answer(Scan scan) {
+        todo.add(new Action.Answer(scan.taken.id(), true, Reason.WHOLE));
+        if (!scan.secondStep && scan.type.secondStepParts() > 0) {
             scan.secondStep = true;
-            scan.parts.forEach(this::callOff);
+            scan.parts.forEach(part -> callOff(part, Reason.NEXT_STEP));
             scan.parts.forEach(part -> part.past = true);
             scan.parts.forEach(this::forget);
             scan.parts = new ArrayList<>();
             scan.rounds = new ArrayList<>();
         } else {
-            close(scan);
+            close(scan, Reason.SCAN_OVER);
         }
     }
 
     /** The final answer when no more can come: what is in, if that may be given, or else none. */
-    private void end(Scan scan) {
+    private void end(Scan scan, Reason reason) {
         if (scan.over) {
             return;
         }
         if (mayAnswer(scan)) {
-            todo.add(new Action.Answer(scan.taken.id(), false));
-            close(scan);
-            return;
-        }
-        if (scan.type.repeat() != TableType.Repeat.NON_REPLAYABLE
+            todo.add(new Action.Answer(scan.taken.id(), false, reason));
+        } else if (scan.type.repeat() != TableType.Repeat.NON_REPLAYABLE
                 || !scan.secondStep && scan.parts.stream().noneMatch(p -> p.mayHaveRun || p.isOut())) {
-            throttle(scan);
+            todo.add(new Action.Throttle(scan.taken.id(), facts.limits().maxComeBackMs(), reason));
         } else {
-            todo.add(new Action.Abandon(scan.taken.id()));
-            close(scan);
+            todo.add(new Action.Abandon(scan.taken.id(), reason));
         }
+        close(scan, Reason.SCAN_OVER);
     }
 
     /** Whether what is in may be the final answer; a first step's isn't one where a second follows. */
@@ -1012,16 +1024,16 @@
                 && scan.completedWeight() >= scan.least() - 1e-6;
     }
 
-    private void throttle(Scan scan) {
-        todo.add(new Action.Throttle(scan.taken.id(), facts.limits().maxComeBackMs()));
-        close(scan);
+    private void throttle(Scan scan, Reason reason) {
+        todo.add(new Action.Throttle(scan.taken.id(), facts.limits().maxComeBackMs(), reason));
+        close(scan, Reason.SCAN_OVER);
     }
 
-    private void close(Scan scan) {
+    private void close(Scan scan, Reason reason) {
         scan.over = true;
         scansById.remove(scan.taken.id());
         scansByNumber.remove(scan.taken.number());
-        scan.parts.forEach(this::callOff);
+        scan.parts.forEach(part -> callOff(part, reason));
         scan.parts.forEach(this::forget);
     }
 }
--- a/core/src/test/java/sprucehold/brain/BrainTest.java
+++ b/core/src/test/java/sprucehold/brain/BrainTest.java
@@ -14,6 +14,8 @@
 import sprucehold.port.Ending;
 import sprucehold.port.Event;
 import sprucehold.port.Listing;
+import sprucehold.port.PassedOver;
+import sprucehold.port.Reason;
 import sprucehold.port.TableType;
 
 public class BrainTest {
@@ -755,4 +757,81 @@
         }
         assertEquals(play.all(Action.Dispatch.class).stream().anyMatch(d -> d.server().equals("a")), forgotten);
     }
+
+    @Test
+    public void eachRoundAndFurtherTrySaysWhy() {
+        Play play = fresh();
+        play.limits = new Deployment.Limits(3, 1000, false, true, 500);
+        play.start().scan("s", Play.ANY, 9, 4000);
+        List<Action.Dispatch> first = play.all(Action.Dispatch.class);
+        assertTrue(first.stream().allMatch(d -> d.reason() == Reason.FIRST_ROUND), first.toString());
+        play.end(first.get(0).partId(), 0, Ending.COMPLETED);
+        play.done.clear();
+        play.end(first.get(1).partId(), 0, Ending.FULL);
+        play.end(first.get(2).partId(), 0, Ending.ERROR);
+        play.waitFor(505);
+        List<Action.Dispatch> later = play.all(Action.Dispatch.class);
+        assertEquals(later.stream().map(Action::reason).toList(),
+                List.of(Reason.NEVER_RAN, Reason.FURTHER_TRY, Reason.LATER_ROUND));
+        assertEquals(later.get(0).passedOver(), List.of(
+                new PassedOver(first.get(1).server(), PassedOver.Cause.TRIED)));
+    }
+
+    @Test
+    public void afterAnEmptyRoundAllGoAndSaySo() {
+        Play play = fresh();
+        play.limits = new Deployment.Limits(1, 1000, false, true, 500);
+        play.start().scan("s", Play.ANY, 9, 4000);
+        play.done.clear();
+        play.waitFor(505);
+        assertEquals(play.all(Action.Dispatch.class).stream().map(Action::reason).toList(),
+                List.of(Reason.EMPTY_ROUND));
+    }
+
+    @Test
+    public void drainingHolderIsNamedAsPassedOver() {
+        Play play = fresh().start();
+        play.tell(new Event.ListReceived(false, List.of(Play.listing("a", 0, 0, Listing.Mode.DRAINING))));
+        play.done.clear();
+        // By chance one of the two positions is taken; at one of them segment 0 would be a's.
+        for (int i = 0; i < 8; i++) {
+            play.scan("s" + i, Play.ALL, 1, 4000);
+            play.end("s" + i + "/0", 0, Ending.COMPLETED);
+        }
+        List<List<PassedOver>> passed = play.all(Action.Dispatch.class).stream().map(Action.Dispatch::passedOver)
+                .filter(list -> !list.isEmpty()).toList();
+        assertFalse(passed.isEmpty());
+        assertTrue(passed.stream().allMatch(List.of(new PassedOver("a", PassedOver.Cause.DRAINING))::equals));
+    }
+
+    @DataProvider
+    Object[][] endReasons() {
+        return new Object[][] {
+            // type, how its one part's first dispatch ends (null: not at all), reason of the final answer
+            {Play.ALL, Ending.COMPLETED, Reason.WHOLE}, {Play.ONCE, Ending.ERROR, Reason.UNDER_LEAST},
+            {Play.ONCE, Ending.RESET, Reason.ALL_BROKEN}, {Play.ONCE, null, Reason.TIME_OVER},
+        };
+    }
+
+    @Test(dataProvider = "endReasons")
+    public void finalAnswerSaysWhy(TableType type, Ending ending, Reason reason) {
+        Play play = fresh().start();
+        play.scan("s", type, 1, 4000);
+        if (ending != null) {
+            play.end("s/0", 0, ending);
+        }
+        play.waitFor(4000);
+        List<Reason> reasons = play.done.stream().filter(action -> action instanceof Action.Answer
+                || action instanceof Action.Throttle || action instanceof Action.Abandon).map(Action::reason).toList();
+        assertEquals(reasons, List.of(reason));
+    }
+
+    @Test
+    public void whatIsCalledOffSaysWhy() {
+        Play play = fresh().start();
+        play.scan("s", Play.ALL, 2, 4000);
+        play.tell(new Event.ClientLeft("s"));
+        assertEquals(play.all(Action.Cancel.class).stream().map(Action::reason).toList(),
+                List.of(Reason.CLIENT_LEFT, Reason.CLIENT_LEFT));
+    }
 }
