--- a/cli/src/test/java/sprucehold/ArchitectureTest.java
+++ b/cli/src/test/java/sprucehold/ArchitectureTest.java
@@ -18,6 +18,7 @@
     private static final String[] CORE = {"sprucehold.port..", "sprucehold.facts..", "sprucehold.picker..",
         "sprucehold.brain.."};
     private static final String[] TRACE = {"sprucehold.trace.."};
+    private static final String[] TOOLS = {"sprucehold.tracetools.."};
     private static final String[] STANDIN = {"sprucehold.standin.."};
     private static final String[] GATHERER = {"sprucehold.node..", "sprucehold.clients..", "sprucehold.shards..",
         "sprucehold.discovery..", "sprucehold.drill..", "sprucehold.command.."};
@@ -32,13 +33,16 @@
         return new Object[][] {
             {"no circle of packages", slices().matching("sprucehold.(**)").should().beFreeOfCycles()},
             {"core is below all", noClasses().that().resideInAnyPackage(CORE).should().dependOnClassesThat()
-                    .resideInAnyPackage(join(TRACE, STANDIN, GATHERER, CLI))},
+                    .resideInAnyPackage(join(TRACE, TOOLS, STANDIN, GATHERER, CLI))},
             {"stand-ins are above core alone", noClasses().that().resideInAnyPackage(STANDIN).should()
-                    .dependOnClassesThat().resideInAnyPackage(join(TRACE, GATHERER, CLI))},
+                    .dependOnClassesThat().resideInAnyPackage(join(TRACE, TOOLS, GATHERER, CLI))},
             {"trace is above core alone", noClasses().that().resideInAnyPackage(TRACE).should()
+                    .dependOnClassesThat().resideInAnyPackage(join(TOOLS, STANDIN, GATHERER, CLI))},
+            {"the gatherer is below the command line and knows no tool", noClasses().that()
+                    .resideInAnyPackage(GATHERER).should().dependOnClassesThat()
+                    .resideInAnyPackage(join(TOOLS, CLI))},
+            {"tools are above the trace alone", noClasses().that().resideInAnyPackage(TOOLS).should()
                     .dependOnClassesThat().resideInAnyPackage(join(STANDIN, GATHERER, CLI))},
-            {"the gatherer is below the command line", noClasses().that().resideInAnyPackage(GATHERER).should()
-                    .dependOnClassesThat().resideInAnyPackage(CLI)},
             {"nothing imports the root package", noClasses().should().dependOnClassesThat()
                     .resideInAPackage("sprucehold")},
             {"the decisions are handed over, not named", noClasses().that()
@@ -58,9 +62,11 @@
             {"core has no chance without a seed", noClasses().that().resideInAnyPackage(CORE).should()
                     .callConstructor(java.util.Random.class).orShould().callMethod(Math.class, "random")},
             {"pure parts of the trace have no files or threads", noClasses().that()
-                    .resideInAnyPackage("sprucehold.trace.event..", "sprucehold.trace.story..").should()
+                    .resideInAnyPackage("sprucehold.trace.event..", "sprucehold.trace.book..",
+                            "sprucehold.tracetools.clock..", "sprucehold.tracetools.story..").or()
+                    .haveNameMatching("sprucehold\\.trace\\.record\\.(Thinning|FileDuty)").should()
                     .dependOnClassesThat().resideInAnyPackage("java.nio.file..", "java.nio.channels..",
-                            "java.util.concurrent..").allowEmptyShould(true)},
+                            "java.util.concurrent..")},
         };
     }
 
--- a/gatherer/src/main/java/sprucehold/command/Main.java
+++ b/gatherer/src/main/java/sprucehold/command/Main.java
@@ -95,9 +95,20 @@
         @CommandLine.Mixin
         private Place place;
 
+        @Option(names = "--recording", paramLabel = "FILE", defaultValue = "${env:SPRUCEHOLD_RECORDING}",
+                description = "records every decision as this file says, see deploy/recording.schema.json "
+                        + "(default: $SPRUCEHOLD_RECORDING, or none)")
+        private Path recording;
+
         @Override
         public Integer call() throws IOException, Service.StartFailedException {
-            Service.start(place.seat(), Brain::new, place::reread);
+            Seat seat = place.seat();
+            if (recording == null) {
+                Service.start(seat, Brain::new, Brain::new, place::reread, () -> { });
+            } else {
+                Recording recorded = Recording.read(recording, seat.name());
+                Service.start(seat, Brain::new, recorded.of(Brain::new), place::reread, recorded::end);
+            }
             return CommandLine.ExitCode.OK;
         }
     }
--- /dev/null
+++ b/gatherer/src/main/java/sprucehold/command/Recording.java
@@ -0,0 +1,42 @@
+package sprucehold.command;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import sprucehold.port.Gatherer;
+import sprucehold.trace.event.ClockFit;
+import sprucehold.trace.event.Source;
+import sprucehold.trace.record.Recorder;
+import sprucehold.trace.record.RecordingGatherer;
+import sprucehold.trace.record.RecordingPlan;
+
+/** A recorder at the module's door; loaded only where an operator has switched it on. */
+final class Recording {
+    private final RecordingPlan plan;
+    private final String gatherer;
+    private Recorder recorder;
+
+    private Recording(RecordingPlan plan, String gatherer) {
+        this.plan = plan;
+        this.gatherer = gatherer;
+    }
+
+    static Recording read(Path file, String gatherer) throws IOException {
+        return new Recording(RecordingPlan.read(file), gatherer);
+    }
+
+    /** Starts modules whose every call is recorded. */
+    Gatherer.Factory of(Gatherer.Factory factory) {
+        return (seed, facts) -> {
+            recorder = new Recorder(plan, new Source(gatherer, new Main.Version().getVersion()[0], seed, 0, facts,
+                    ClockFit.REFERENCE));
+            return new RecordingGatherer(factory.start(seed, facts), recorder);
+        };
+    }
+
+    /** Ends the last file. */
+    void end() {
+        if (recorder != null) {
+            recorder.close();
+        }
+    }
+}
--- a/gatherer/src/main/java/sprucehold/node/Service.java
+++ b/gatherer/src/main/java/sprucehold/node/Service.java
@@ -21,10 +21,14 @@
     /**
      * Serves until the process is ended; returns once it serves.
      *
+     * @param rehearsed starts the module that scans of its own warm up
+     * @param factory starts the module that serves
      * @param reread reads the configuration anew when SIGHUP asks for it
+     * @param ended is called once all is answered, on the thread that ends the process
      */
-    public static void start(Seat seat, Gatherer.Factory factory, Callable<Seat> reread) throws StartFailedException {
-        WarmUp.run(seat, factory);
+    public static void start(Seat seat, Gatherer.Factory rehearsed, Gatherer.Factory factory, Callable<Seat> reread,
+            Runnable ended) throws StartFailedException {
+        WarmUp.run(seat, rehearsed);
         Vertx vertx = vertx();
         var started = new CompletableFuture<Node>();
         vertx.runOnContext(none -> {
@@ -37,7 +41,10 @@
         });
         Node node = await(started);
         Signals.onHangUp(() -> reseat(vertx, node, reread));
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> end(vertx, node, seat), "end"));
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            end(vertx, node, seat);
+            ended.run();
+        }, "end"));
     }
 
     /** One event loop for everything, and no more threads than must be. */
--- /dev/null
+++ b/trace/src/main/java/sprucehold/trace/event/Head.java
@@ -0,0 +1,43 @@
+package sprucehold.trace.event;
+
+import java.util.List;
+
+/**
+ * What a file says of itself.
+ *
+ * @param oneIn 1 where every scan is kept; n where only one in n of those that ended well is
+ * @param anonymised whether identities were taken out
+ * @param window the window it was cut to, or null
+ * @param lost what can't be told from it any more, a sentence each
+ */
+public record Head(List<Source> sources, int oneIn, boolean anonymised, Window window, List<String> lost) {
+    /** Scans taken from {@code fromMs} until before {@code toMs}, by the clock of the file's order. */
+    public record Window(double fromMs, double toMs) {
+        public boolean holds(double ms) {
+            return ms >= fromMs && ms < toMs;
+        }
+    }
+
+    public Head {
+        sources = List.copyOf(sources);
+        lost = lost == null ? List.of() : List.copyOf(lost);
+        oneIn = Math.max(1, oneIn);
+    }
+
+    /** The head of a recording of everything. */
+    public static Head of(Source source) {
+        return new Head(List.of(source), 1, false, null, List.of());
+    }
+
+    public Head withOneIn(int n) {
+        return new Head(sources, n, anonymised, window, lost);
+    }
+
+    public Head withSources(List<Source> others) {
+        return new Head(others, oneIn, anonymised, window, lost);
+    }
+
+    public Head withWindow(Window other) {
+        return new Head(sources, oneIn, anonymised, other, lost);
+    }
+}
--- /dev/null
+++ b/trace/src/main/java/sprucehold/trace/event/Item.java
@@ -0,0 +1,17 @@
+package sprucehold.trace.event;
+
+import sprucehold.port.Action;
+import sprucehold.port.Event;
+
+/**
+ * One event that went in, or one action that came out: exactly one of the two is not null.
+ *
+ * @param index its place, from 0, among all events and then all actions of its moment
+ */
+public record Item(int index, Event event, Action action) {
+    public Item {
+        if ((event == null) == (action == null)) {
+            throw new IllegalArgumentException("an item is an event or an action");
+        }
+    }
+}
--- /dev/null
+++ b/trace/src/main/java/sprucehold/trace/event/Moment.java
@@ -0,0 +1,51 @@
+package sprucehold.trace.event;
+
+import java.util.ArrayList;
+import java.util.List;
+import sprucehold.port.Action;
+import sprucehold.port.Event;
+
+/**
+ * One call of the module: what went in and what came out.
+ *
+ * @param failed the module ended by an exception, so nothing came out
+ * @param total how many events and actions the call had; more than {@code items} where some were left out
+ * @param items those kept, by rising index
+ */
+public record Moment(int source, long seq, double nowMs, boolean failed, int total, List<Item> items)
+        implements Entry {
+    public Moment {
+        items = List.copyOf(items);
+    }
+
+    /** A whole moment. */
+    public static Moment of(int source, long seq, double nowMs, List<Event> events, List<Action> actions,
+            boolean failed) {
+        var items = new ArrayList<Item>(events.size() + actions.size());
+        events.forEach(event -> items.add(new Item(items.size(), event, null)));
+        actions.forEach(action -> items.add(new Item(items.size(), null, action)));
+        return new Moment(source, seq, nowMs, failed, items.size(), items);
+    }
+
+    /** Whether nothing was left out. */
+    public boolean whole() {
+        return items.size() == total;
+    }
+
+    public List<Event> events() {
+        return items.stream().map(Item::event).filter(event -> event != null).toList();
+    }
+
+    public List<Action> actions() {
+        return items.stream().map(Item::action).filter(action -> action != null).toList();
+    }
+
+    @Override
+    public Moment withSource(int other) {
+        return new Moment(other, seq, nowMs, failed, total, items);
+    }
+
+    public Moment withItems(List<Item> kept) {
+        return new Moment(source, seq, nowMs, failed, total, kept);
+    }
+}
--- /dev/null
+++ b/trace/src/main/java/sprucehold/trace/event/Source.java
@@ -0,0 +1,23 @@
+package sprucehold.trace.event;
+
+import sprucehold.port.Deployment;
+
+/**
+ * One gatherer from one start to its end.
+ *
+ * @param gatherer its name
+ * @param build the version that decided
+ * @param seed the seed handed to the module
+ * @param startedMs its own clock when recording began, Unix milliseconds
+ * @param facts what the module was told of the deployment
+ */
+public record Source(String gatherer, String build, long seed, double startedMs, Deployment facts, ClockFit clock) {
+    /** Tells sources apart: equal for all files of one gatherer's one start. */
+    public String id() {
+        return gatherer + "@" + Long.toHexString(seed) + "@" + Long.toHexString(Double.doubleToLongBits(startedMs));
+    }
+
+    public Source withClock(ClockFit fit) {
+        return new Source(gatherer, build, seed, startedMs, facts, fit);
+    }
+}
--- /dev/null
+++ b/trace/src/main/java/sprucehold/trace/format/BlockDecoder.java
@@ -0,0 +1,212 @@
+package sprucehold.trace.format;
+
+import com.google.protobuf.CodedInputStream;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import sprucehold.port.Action;
+import sprucehold.port.Customer;
+import sprucehold.port.Ending;
+import sprucehold.port.Event;
+import sprucehold.port.Listing;
+import sprucehold.port.LoadReport;
+import sprucehold.port.PassedOver;
+import sprucehold.port.Reason;
+import sprucehold.port.TableType;
+import sprucehold.trace.event.Entry;
+import sprucehold.trace.event.Gap;
+import sprucehold.trace.event.Item;
+import sprucehold.trace.event.Moment;
+import sprucehold.trace.event.Source;
+
+/** Reads the entries of one block. */
+final class BlockDecoder {
+    private static final Ending[] ENDINGS = Ending.values();
+    private static final Reason[] REASONS = Reason.values();
+    private static final Listing.Mode[] MODES = Listing.Mode.values();
+    private static final PassedOver.Cause[] CAUSES = PassedOver.Cause.values();
+
+    private final List<Source> sources;
+    private final CodedInputStream in;
+    private final List<String> names = new ArrayList<>();
+    private final List<Entry> entries = new ArrayList<>();
+    private long seqBefore;
+    private long timeBefore;
+    private long letters;
+    private int things;
+    /** The moment whose items are being read, without them; null before the first. */
+    private Moment open;
+    private boolean leftOut;
+    private List<Item> items = new ArrayList<>();
+
+    private BlockDecoder(List<Source> sources, byte[] raw) {
+        this.sources = sources;
+        this.in = CodedInputStream.newInstance(raw);
+    }
+
+    /** @throws IOException where the bytes are no entries; its message says what was expected */
+    static List<Entry> decode(List<Source> sources, byte[] raw) throws IOException {
+        try {
+            var decoder = new BlockDecoder(sources, raw);
+            decoder.records();
+            return decoder.entries;
+        } catch (IndexOutOfBoundsException | IllegalArgumentException e) {
+            throw new IOException("a number that leads nowhere: " + e.getMessage(), e);
+        }
+    }
+
+    private void records() throws IOException {
+        while (!in.isAtEnd()) {
+            int kind = in.readUInt32();
+            int length = in.readUInt32();
+            int outer = in.pushLimit(length);
+            record(kind);
+            // Fields that a newer minor version added.
+            in.skipRawBytes(in.getBytesUntilLimit());
+            in.popLimit(outer);
+        }
+        close();
+    }
+
+    private void close() {
+        if (open != null) {
+            entries.add(open.withItems(items));
+            items = new ArrayList<>();
+            open = null;
+        }
+    }
+
+    private void record(int kind) throws IOException {
+        count(1);
+        if (kind == RecordKind.MOMENT || kind == RecordKind.GAP) {
+            close();
+            int source = in.readUInt32();
+            if (source < 0 || source >= sources.size()) {
+                throw new IOException("source " + source + " of " + sources.size());
+            }
+            seqBefore += in.readSInt64();
+            timeBefore += in.readSInt64();
+            double now = Double.longBitsToDouble(timeBefore);
+            if (kind == RecordKind.GAP) {
+                entries.add(new Gap(source, seqBefore, now, in.readUInt64(), in.readDouble()));
+                return;
+            }
+            int flags = in.readUInt32();
+            leftOut = (flags & RecordKind.LEFT_OUT) != 0;
+            open = new Moment(source, seqBefore, now, (flags & RecordKind.FAILED) != 0, in.readUInt32(), List.of());
+            return;
+        }
+        if (kind < RecordKind.SCAN_TAKEN || kind > RecordKind.NOTE
+                || kind > RecordKind.WOKEN && kind < RecordKind.DISPATCH) {
+            return;
+        }
+        if (open == null) {
+            throw new IOException("an item of kind " + kind + " before any moment");
+        }
+        int index = leftOut ? in.readUInt32() : items.size();
+        Item item = kind < RecordKind.DISPATCH ? new Item(index, event(kind), null)
+                : new Item(index, null, action(kind));
+        items.add(item);
+    }
+
+    private Event event(int kind) throws IOException {
+        return switch (kind) {
+            case RecordKind.SCAN_TAKEN -> {
+                var facts = sources.get(open.source()).facts();
+                String id = name();
+                long number = in.readUInt64();
+                TableType type = facts.tableTypes().get(in.readUInt32());
+                int customer = in.readUInt32();
+                Customer of = customer == 0 ? null : facts.customers().get(customer - 1);
+                yield new Event.ScanTaken(id, number, type, of, number());
+            }
+            case RecordKind.PART_TAKEN -> new Event.PartTaken(name(), in.readUInt64(), in.readSInt32(), number());
+            case RecordKind.DISPATCH_ENDED -> new Event.DispatchEnded(name(), in.readUInt32(),
+                    ENDINGS[in.readUInt32()], number(), load());
+            case RecordKind.CLIENT_LEFT -> new Event.ClientLeft(name());
+            case RecordKind.LIST_RECEIVED -> {
+                boolean complete = in.readBool();
+                int count = in.readUInt32();
+                count(count);
+                var servers = new ArrayList<Listing>();
+                for (int i = 0; i < count; i++) {
+                    servers.add(new Listing(name(), in.readSInt32(), name(), number(), MODES[in.readUInt32()]));
+                }
+                yield new Event.ListReceived(complete, List.copyOf(servers));
+            }
+            case RecordKind.LIST_UNAVAILABLE -> new Event.ListUnavailable();
+            case RecordKind.PROBE_ENDED ->
+                    new Event.ProbeEnded(name(), ENDINGS[in.readUInt32()], number(), load());
+            default -> new Event.Woken();
+        };
+    }
+
+    private Action action(int kind) throws IOException {
+        return switch (kind) {
+            case RecordKind.DISPATCH -> {
+                String part = name();
+                String server = name();
+                double timeout = number();
+                Reason reason = reason();
+                int position = in.readUInt32();
+                int count = in.readUInt32();
+                count(count);
+                var passed = new ArrayList<PassedOver>();
+                for (int i = 0; i < count; i++) {
+                    String over = name();
+                    int cause = in.readUInt32();
+                    if (cause < CAUSES.length) {
+                        passed.add(new PassedOver(over, CAUSES[cause]));
+                    }
+                }
+                yield new Action.Dispatch(part, server, timeout, reason, position, List.copyOf(passed));
+            }
+            case RecordKind.CANCEL -> new Action.Cancel(name(), in.readUInt32(), reason());
+            case RecordKind.ANSWER -> new Action.Answer(name(), in.readBool(), reason());
+            case RecordKind.THROTTLE -> new Action.Throttle(name(), number(), reason());
+            case RecordKind.ABANDON -> new Action.Abandon(name(), reason());
+            case RecordKind.WAKE -> new Action.Wake(number());
+            case RecordKind.PROBE -> new Action.Probe(name());
+            case RecordKind.FOLLOW_LIST -> new Action.FollowList(reason());
+            default -> new Action.Note(in.readStringRequireUtf8());
+        };
+    }
+
+    /** One that a newer minor version has added is none that this build can name. */
+    private Reason reason() throws IOException {
+        int reason = in.readUInt32();
+        return reason >= 0 && reason < REASONS.length ? REASONS[reason] : Reason.UNSTATED;
+    }
+
+    private LoadReport load() throws IOException {
+        return in.readBool() ? new LoadReport(number(), number(), number()) : null;
+    }
+
+    private double number() throws IOException {
+        return Double.longBitsToDouble(Long.reverseBytes(in.readUInt64()));
+    }
+
+    private String name() throws IOException {
+        int how = in.readUInt32();
+        if (how > 1) {
+            return names.get(how - 2);
+        }
+        String name = how == 0 ? in.readStringRequireUtf8()
+                : names.get(in.readUInt32()) + in.readStringRequireUtf8();
+        names.add(name);
+        // A name may begin with one that began with another: few bytes could else stand for any number of letters.
+        letters += name.length();
+        if (letters > Layout.MOST_RAW_BYTES) {
+            throw new IOException("names of over " + Layout.MOST_RAW_BYTES + " letters");
+        }
+        return name;
+    }
+
+    /** Counts what takes memory: a few bytes that deflate from nearly none must not fill it. */
+    private void count(int more) throws IOException {
+        things += more;
+        if (more < 0 || things > Layout.MOST_RECORDS) {
+            throw new IOException("over " + Layout.MOST_RECORDS + " records");
+        }
+    }
+}
--- /dev/null
+++ b/trace/src/main/java/sprucehold/trace/format/package-info.java
@@ -0,0 +1,80 @@
+/**
+ * The trace file, byte by byte. {@link sprucehold.trace.format.TraceWriter} and
+ * {@link sprucehold.trace.format.TraceReader} are the entry points. The package must never trust a length, an offset
+ * or a number that it has read: each is held against its bound before anything is allocated or followed.
+ *
+ * <h2>Grammar, version 1.0</h2>
+ *
+ * <p>Fixed numbers are little-endian: {@code u16}, {@code u32}, {@code u64}, {@code f64} (IEEE 754). {@code v} is an
+ * unsigned and {@code z} a zigzag base-128 varint as protobuf writes them, {@code str} a {@code v} length and so many
+ * bytes of UTF-8. Checksums are CRC-32C.
+ * <pre>
+ * file      = header *( block / run ) directory footer
+ * header    = magic major minor length json crc
+ *   magic     = 89 53 50 52 54 52 43 0A            ; so that text tools and line-end conversion show up at once
+ *   major     = u16                                ; 1; a reader refuses a greater one
+ *   minor     = u16                                ; 0; a greater one only adds record kinds, fields at records' ends
+ *   length    = u32                                ; bytes of json, at most 16 MiB
+ *   json      = the head: sources with seeds and facts, how it was thinned, cut or anonymised
+ *   crc       = u32                                ; of all bytes of the file before it
+ * block     = frame of kind 1; holds entries, needs no other block
+ * run       = frame of kind 2; the index of the blocks since the run before
+ * directory = frame of kind 3; where the runs are
+ * frame     = marker kind method zero rawlen storedlen entries records earliest latest crc free stored
+ *   marker    = 53 42 4C 4B
+ *   kind      = one byte; others than 1 to 3 are skipped
+ *   method    = one byte: 0 stored as it is, 1 deflate (RFC 1951)
+ *   zero      = u16 0
+ *   rawlen    = u32                                ; bytes after inflating, at most 8 MiB
+ *   storedlen = u32                                ; bytes of stored, at most 8 MiB and 64 KiB
+ *   entries   = u32                                ; moments and gaps in it
+ *   records   = u32                                ; events, actions and gaps in it
+ *   earliest  = f64                                ; least and greatest time of its entries, NaN where there are none
+ *   latest    = f64
+ *   crc       = u32                                ; of all of the frame but itself
+ *   free      = u32 0
+ * footer    = 46 4F 4F 54 dirat filelen records crc magic
+ *   dirat     = u64                                ; where the directory begins
+ *   filelen   = u64                                ; length of the whole file
+ *   records   = u64                                ; in the whole file
+ *   crc       = u32                                ; of the footer's bytes before it
+ *
+ * A block's raw bytes are a sequence of records:
+ * record    = kind length body                     ; kind v, length v of body; unknown kinds and the rest of a body that
+ *                                                  ; is longer than known are skipped
+ *   1  moment          source:v seq:z time:z flags:v total:v   ; seq and time less the one before in the block,
+ *                                                              ; time by its f64 bits; flags 1 failed, 2 some left out
+ *   2  gap             source:v seq:z time:z moments:v to:f64
+ *   items of the moment before; where some are left out, each body begins with its index:v
+ *   10 scan taken      scan:name number:v type:v customer:v left:num   ; indices into facts, customer + 1, 0 for none
+ *   11 part taken      part:name scan-number:v segment:z weight:num
+ *   12 dispatch ended  part:name number:v ending:v took:num load
+ *   13 client left     scan:name
+ *   14 list received   complete:v n:v n*( server:name cell:z zone:name started:num mode:v )
+ *   15 list unavailable
+ *   16 probe ended     server:name ending:v took:num load
+ *   17 woken
+ *   30 dispatch        part:name server:name timeout:num reason:v position:v n:v n*( server:name cause:v )
+ *   31 cancel          part:name number:v reason:v
+ *   32 answer          scan:name whole:v reason:v
+ *   33 throttle        scan:name comeback:num reason:v
+ *   34 abandon         scan:name reason:v
+ *   35 wake            delay:num
+ *   36 probe           server:name
+ *   37 follow list     reason:v
+ *   38 note            str
+ *   load      = 0 / 1 held:num queued:num busy:num
+ *   num       = v                                   ; an f64's bits with their bytes reversed: round numbers are short
+ *   name      = 0 str / 1 ref:v str / n:v           ; new / new, the ref-th name and so much more / the (n - 2)th name
+ *                                                   ; names are numbered from 0 as they come up in the block
+ *
+ * A run's raw bytes:
+ * run       = n:v n*( at:v length:v entries:v records:v earliest:f64 latest:f64 )  ; at less the end of the one before
+ *             m:v m*( hash:u64 ) m*( block:u16 )    ; scans by rising unsigned hash, then block; blocks from 0 in the run
+ *             s:v s*( server:str k:v k*( block:v ) )
+ *   hash      = the first 8 bytes of SHA-256 of the scan's id
+ * A directory's raw bytes:
+ * directory = n:v n*( at:v ) records:v entries:v scans:v gaps:v   ; at less the one before: runs can't lead back
+ * </pre>
+ */
+package sprucehold.trace.format;
--- a/trace/src/main/java/sprucehold/trace/package-info.java
+++ /dev/null
@@ -1,2 +0,0 @@
-/** Trace files. */
-package sprucehold.trace;
--- /dev/null
+++ b/trace/src/main/java/sprucehold/trace/record/RecordingPlan.java
@@ -0,0 +1,67 @@
+package sprucehold.trace.record;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.networknt.schema.JsonSchema;
+import com.networknt.schema.JsonSchemaFactory;
+import com.networknt.schema.SpecVersion;
+import com.networknt.schema.ValidationMessage;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+/**
+ * What an operator says of recording, from a JSON file of the form {@code deploy/recording.schema.json}.
+ *
+ * @param folder where files go; it must exist
+ * @param fileBytes a file is ended beyond so many bytes
+ * @param fileMs a file is ended after so many milliseconds
+ * @param keepFiles the newest files of this gatherer that are kept
+ * @param waitingRecords events and actions that may wait for the writer
+ * @param oneIn of the scans that ended well and in time, one in so many is kept; 1 keeps everything
+ */
+public record RecordingPlan(Path folder, long fileBytes, double fileMs, int keepFiles, int waitingRecords, int oneIn) {
+
+    /** @throws MalformedPlanException with all that is wrong with the file, in one line */
+    public static RecordingPlan read(Path file) throws IOException {
+        JsonNode node;
+        try {
+            node = JsonMapper.builder().enable(JsonParser.Feature.STRICT_DUPLICATE_DETECTION)
+                    .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS).build().readTree(Files.readAllBytes(file));
+        } catch (JsonProcessingException e) {
+            throw new MalformedPlanException(file + ", line " + (e.getLocation() == null ? 1
+                    : e.getLocation().getLineNr()) + ": not JSON: " + e.getOriginalMessage());
+        }
+        Set<ValidationMessage> faults = schema().validate(node);
+        if (!faults.isEmpty()) {
+            throw new MalformedPlanException(file + ": " + faults.stream().map(ValidationMessage::getMessage).sorted()
+                    .collect(Collectors.joining("; ")));
+        }
+        Path folder = Path.of(node.get("folder").asText());
+        return new RecordingPlan(folder.isAbsolute() ? folder : file.toAbsolutePath().resolveSibling(folder),
+                node.path("fileMb").asLong(64) << 20, node.path("fileMinutes").asDouble(60) * 60_000,
+                node.path("keepFiles").asInt(24), node.path("waitingRecords").asInt(20_000),
+                node.path("oneIn").asInt(1));
+    }
+
+    private static JsonSchema schema() throws IOException {
+        try (InputStream in = RecordingPlan.class.getResourceAsStream("/recording.schema.json")) {
+            return JsonSchemaFactory.getInstance(SpecVersion.VersionFlag.V202012).getSchema(in);
+        }
+    }
+
+    /** The file doesn't say what has to be known. */
+    public static final class MalformedPlanException extends IOException {
+        private static final long serialVersionUID = 1L;
+
+        MalformedPlanException(String message) {
+            super(message);
+        }
+    }
+}
--- /dev/null
+++ b/tracetools/src/main/java/sprucehold/tracetools/export/TraceExport.java
@@ -0,0 +1,101 @@
+package sprucehold.tracetools.export;
+
+import com.fasterxml.jackson.annotation.JsonInclude;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.io.Writer;
+import org.apache.commons.csv.CSVFormat;
+import org.apache.commons.csv.CSVPrinter;
+import sprucehold.port.Event;
+import sprucehold.trace.event.Entry;
+import sprucehold.trace.event.Gap;
+import sprucehold.trace.event.Item;
+import sprucehold.trace.event.Moment;
+import sprucehold.trace.event.Source;
+import sprucehold.trace.format.TraceReader;
+import sprucehold.tracetools.story.ScanTallies;
+import sprucehold.tracetools.story.ScanTally;
+
+/** Writes a trace as text: every record as a JSON line, or every scan as a row. */
+public final class TraceExport {
+    private static final ObjectMapper MAPPER = JsonMapper.builder().disable(JsonGenerator.Feature.AUTO_CLOSE_TARGET)
+            .defaultPropertyInclusion(JsonInclude.Value.construct(JsonInclude.Include.NON_NULL,
+                    JsonInclude.Include.NON_NULL)).build();
+
+    private TraceExport() {
+    }
+
+    /** Every event, action and gap, a JSON line each; returns how many. */
+    public static long jsonLines(TraceReader reader, Writer to) throws IOException {
+        long lines = 0;
+        TraceReader.Cursor cursor = reader.all();
+        for (Entry entry = cursor.next(); entry != null; entry = cursor.next()) {
+            Source source = reader.head().sources().get(entry.source());
+            if (entry instanceof Gap gap) {
+                line(to, source, entry, "Gap", MAPPER.createObjectNode().put("moments", gap.moments())
+                        .put("toMs", gap.toMs()));
+                lines++;
+                continue;
+            }
+            for (Item item : ((Moment) entry).items()) {
+                Object what = item.event() != null ? item.event() : item.action();
+                ObjectNode fields = MAPPER.valueToTree(what);
+                if (what instanceof Event.ScanTaken taken) {
+                    fields.put("type", taken.type().name());
+                    fields.put("customer", taken.customer() == null ? null : taken.customer().name());
+                }
+                line(to, source, entry, what.getClass().getSimpleName(), fields);
+                lines++;
+            }
+        }
+        return lines;
+    }
+
+    private static void line(Writer to, Source source, Entry entry, String kind, ObjectNode fields)
+            throws IOException {
+        ObjectNode line = MAPPER.createObjectNode().put("gatherer", source.gatherer()).put("call", entry.seq())
+                .put("ms", entry.nowMs()).put("kind", kind);
+        line.setAll(fields);
+        MAPPER.writeValue(to, line);
+        to.write('\n');
+    }
+
+    /** Every scan, a row each; returns how many. */
+    public static long csv(TraceReader reader, Writer to) throws IOException {
+        CSVFormat format = CSVFormat.RFC4180.builder().setHeader("gatherer", "scan", "table_type", "customer",
+                "taken_ms", "outcome", "reason", "took_ms", "in_target_time", "parts", "dispatches",
+                "further_tries", "second_copies", "servers").get();
+        var printer = new CSVPrinter(to, format);
+        long[] rows = {0};
+        var failed = new IOException[1];
+        var tallies = new ScanTallies(tally -> {
+            try {
+                row(printer, reader, tally);
+                rows[0]++;
+            } catch (IOException e) {
+                failed[0] = e;
+            }
+        });
+        TraceReader.Cursor cursor = reader.all();
+        for (Entry entry = cursor.next(); entry != null && failed[0] == null; entry = cursor.next()) {
+            tallies.add(entry);
+        }
+        tallies.end();
+        printer.flush();
+        if (failed[0] != null) {
+            throw failed[0];
+        }
+        return rows[0];
+    }
+
+    private static void row(CSVPrinter printer, TraceReader reader, ScanTally tally) throws IOException {
+        var taken = tally.scan().taken();
+        printer.printRecord(reader.head().sources().get(tally.scan().source()).gatherer(), taken.id(),
+                taken.type().name(), tally.customer(), tally.scan().takenMs(), tally.outcome(), tally.reason(),
+                Double.isNaN(tally.tookMs()) ? "" : tally.tookMs(), tally.inTargetTime(), tally.parts(),
+                tally.dispatches(), tally.furtherTries(), tally.copies(), String.join(" ", tally.servers()));
+    }
+}
--- /dev/null
+++ b/tracetools/src/main/java/sprucehold/tracetools/export/package-info.java
@@ -0,0 +1,2 @@
+/** Traces for other tools, as CSV or JSON lines: {@link sprucehold.tracetools.export.TraceExport}. */
+package sprucehold.tracetools.export;
--- /dev/null
+++ b/tracetools/src/main/java/sprucehold/tracetools/replay/TraceDiff.java
@@ -0,0 +1,105 @@
+package sprucehold.tracetools.replay;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Objects;
+import sprucehold.trace.event.Entry;
+import sprucehold.trace.event.Item;
+import sprucehold.trace.event.Moment;
+import sprucehold.trace.event.Source;
+import sprucehold.trace.format.TraceReader;
+import sprucehold.tracetools.story.Times;
+
+/** Where two traces of the same day part. */
+public final class TraceDiff {
+    private TraceDiff() {
+    }
+
+    /**
+     * @param gatherer whose entries part
+     * @param nowMs when, by its clock
+     * @param what what stands in the first and in the second file
+     */
+    public record Parting(String gatherer, long seq, double nowMs, String what) {
+        @Override
+        public String toString() {
+            return "gatherer " + gatherer + ", call " + seq + " at " + Times.iso(nowMs) + ": " + what;
+        }
+    }
+
+    /**
+     * The first parting of each gatherer that both files know, the earliest first; gatherers are matched by name.
+     *
+     * @return empty where all that both hold is the same
+     */
+    public static List<Parting> diff(TraceReader a, TraceReader b) throws IOException {
+        var partings = new ArrayList<Parting>();
+        for (int i = 0; i < a.head().sources().size(); i++) {
+            Source source = a.head().sources().get(i);
+            int other = -1;
+            for (int j = 0; j < b.head().sources().size(); j++) {
+                other = b.head().sources().get(j).gatherer().equals(source.gatherer()) ? j : other;
+            }
+            if (other < 0) {
+                partings.add(new Parting(source.gatherer(), 0, source.startedMs(), "only the first file holds it"));
+                continue;
+            }
+            Parting parting = diff(source, a.allOf(i), b.allOf(other));
+            if (parting != null) {
+                partings.add(parting);
+            }
+        }
+        for (Source source : b.head().sources()) {
+            if (a.head().sources().stream().noneMatch(of -> of.gatherer().equals(source.gatherer()))) {
+                partings.add(new Parting(source.gatherer(), 0, source.startedMs(), "only the second file holds it"));
+            }
+        }
+        partings.sort(Comparator.comparingDouble(Parting::nowMs));
+        return partings;
+    }
+
+    private static Parting diff(Source source, TraceReader.Cursor a, TraceReader.Cursor b) throws IOException {
+        while (true) {
+            Entry one = a.next();
+            Entry other = b.next();
+            if (one == null && other == null) {
+                return null;
+            }
+            if (one == null || other == null) {
+                Entry left = one == null ? other : one;
+                return new Parting(source.gatherer(), left.seq(), left.nowMs(), "the "
+                        + (one == null ? "first" : "second") + " file ends before it");
+            }
+            String what = what(one, other);
+            if (what != null) {
+                return new Parting(source.gatherer(), one.seq(), one.nowMs(), what);
+            }
+        }
+    }
+
+    private static String what(Entry one, Entry other) {
+        if (one.withSource(0).equals(other.withSource(0))) {
+            return null;
+        }
+        if (!(one instanceof Moment a) || !(other instanceof Moment b)) {
+            return "the first has " + one + ", the second " + other;
+        }
+        // What went in parts before what came out does: the first that differs is the cause.
+        for (int i = 0; i < Math.max(a.items().size(), b.items().size()); i++) {
+            Item was = i < a.items().size() ? a.items().get(i) : null;
+            Item is = i < b.items().size() ? b.items().get(i) : null;
+            if (!Objects.equals(was, is)) {
+                return words(was) + " in the first, " + words(is) + " in the second";
+            }
+        }
+        return "call " + a.seq() + " at " + Times.iso(a.nowMs()) + " in the first, call " + b.seq() + " at "
+                + Times.iso(b.nowMs()) + " in the second";
+    }
+
+    private static String words(Item item) {
+        return item == null ? "nothing more" : item.event() != null ? "event " + item.event()
+                : "action " + item.action();
+    }
+}
--- /dev/null
+++ b/tracetools/src/main/java/sprucehold/tracetools/story/Storyteller.java
@@ -0,0 +1,200 @@
+package sprucehold.tracetools.story;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.stream.Collectors;
+import sprucehold.port.Action;
+import sprucehold.port.Ending;
+import sprucehold.port.Event;
+import sprucehold.port.PassedOver;
+import sprucehold.port.TableType;
+import sprucehold.trace.event.Gap;
+import sprucehold.trace.event.Source;
+
+/** Tells a scan's story in plain words, and draws its parts on a time line. */
+public final class Storyteller {
+    private static final int LINE_WIDTH = 60;
+
+    private Storyteller() {
+    }
+
+    /** The story, a line each. */
+    public static List<String> tell(Story story, Source source) {
+        var lines = new ArrayList<String>();
+        ScanTally tally = story.tally();
+        Event.ScanTaken taken = tally.scan().taken();
+        TableType type = taken.type();
+        lines.add("scan " + taken.id() + " of " + type.name() + " for "
+                + (taken.customer() == null ? "no known customer" : "customer " + taken.customer().name())
+                + ", taken by gatherer " + source.gatherer() + " at " + Times.iso(tally.scan().takenMs()));
+        lines.add("  " + tally.parts() + " parts; " + repeat(type) + "; target time " + ms(type.targetMs())
+                + ", its client would wait " + ms(taken.timeLeftMs()) + "; whole from "
+                + percent(type.completeFrom()) + ", answered at all from " + percent(type.leastShare()));
+        lines.add("  " + verdict(tally));
+        lines.add("");
+        for (Story.Line line : story.lines()) {
+            String words = words(line);
+            if (words != null) {
+                lines.add(String.format(Locale.ROOT, "  %+10.1f ms  %s", line.nowMs() - tally.scan().takenMs(),
+                        words));
+            }
+        }
+        for (Gap gap : story.gaps()) {
+            lines.add("  here " + gap.moments() + " calls of the module were not recorded, from "
+                    + Times.iso(gap.nowMs()) + " to " + Times.iso(gap.toMs()));
+        }
+        lines.add("");
+        lines.addAll(timeLine(story));
+        return lines;
+    }
+
+    private static String verdict(ScanTally tally) {
+        if (tally.outcome() == ScanTally.Outcome.OPEN) {
+            return "it has no end in this file";
+        }
+        return tally.outcome().words() + " after " + ms(tally.tookMs())
+                + (tally.inTargetTime() ? ", in its target time" : tally.outcome() == ScanTally.Outcome.WHOLE
+                || tally.outcome() == ScanTally.Outcome.PART ? ", past its target time" : "")
+                + ", because " + tally.reason().words() + "; " + tally.dispatches() + " dispatches, "
+                + tally.furtherTries() + " further tries, " + tally.copies() + " second copies";
+    }
+
+    private static String repeat(TableType type) {
+        return switch (type.repeat()) {
+            case REPLAYABLE -> "replayable";
+            case KEYED -> "keyed, repeats dropped for " + ms(type.keyedWindowMs());
+            case NON_REPLAYABLE -> "non-replayable";
+        };
+    }
+
+    private static String words(Story.Line line) {
+        Event event = line.item().event();
+        Action action = line.item().action();
+        if (event instanceof Event.ScanTaken) {
+            return "taken";
+        } else if (event instanceof Event.PartTaken part) {
+            return "part " + part.id() + " for segment " + part.segment() + ", " + percent(part.weight())
+                    + " of the answer";
+        } else if (event instanceof Event.DispatchEnded ended) {
+            return "part " + ended.partId() + ", dispatch " + ended.number() + ": " + words(ended.ending())
+                    + " after " + ms(ended.tookMs());
+        } else if (event instanceof Event.ClientLeft) {
+            return "its client left";
+        } else if (action instanceof Action.Dispatch dispatch) {
+            String passed = dispatch.passedOver().stream().map(Storyteller::words)
+                    .collect(Collectors.joining("; "));
+            return "part " + dispatch.partId() + " goes to " + dispatch.server() + ", waited for "
+                    + ms(dispatch.timeoutMs()) + ", because of: " + dispatch.reason().words() + "; position "
+                    + dispatch.position() + (passed.isEmpty() ? "" : "; passed over " + passed);
+        } else if (action instanceof Action.Cancel cancel) {
+            return "part " + cancel.partId() + ", dispatch " + cancel.number() + " is called off, because "
+                    + cancel.reason().words();
+        } else if (action instanceof Action.Answer answer) {
+            return "answered " + (answer.whole() ? "whole" : "in part") + ", because " + answer.reason().words();
+        } else if (action instanceof Action.Throttle throttle) {
+            return "throttled, because " + throttle.reason().words() + (throttle.comeBackMs() > 0
+                    ? "; come back in " + ms(throttle.comeBackMs()) : "");
+        } else if (action instanceof Action.Abandon abandon) {
+            return "abandoned, because " + abandon.reason().words();
+        }
+        return null;
+    }
+
+    private static String words(PassedOver passed) {
+        return passed.server() + " (" + passed.cause().words() + ")";
+    }
+
+    /** An ending in words. */
+    public static String words(Ending ending) {
+        return switch (ending) {
+            case COMPLETED -> "completed";
+            case ERROR -> "an error, it may have run";
+            case FULL -> "turned away, it never ran";
+            case TIMED_OUT -> "timed out, it may have run or may yet";
+            case UNCONNECTED -> "no connection, it never ran";
+            case RESET -> "its connection broke, it may have run";
+            case CANCELLED -> "called off, it may have run or may yet";
+            case NEVER_SENT -> "never sent";
+        };
+    }
+
+    private static List<String> timeLine(Story story) {
+        var bars = new LinkedBars(story);
+        return bars.lines();
+    }
+
+    /** One bar a dispatch, from its sending to its end. */
+    private static final class LinkedBars {
+        private final Story story;
+        private final double begun;
+        private final double span;
+
+        LinkedBars(Story story) {
+            this.story = story;
+            this.begun = story.tally().scan().takenMs();
+            double last = story.lines().stream().mapToDouble(Story.Line::nowMs).max().orElse(begun);
+            this.span = Math.max(1, last - begun);
+        }
+
+        List<String> lines() {
+            Map<String, Double> sentAt = new HashMap<>();
+            Map<String, Integer> sent = new HashMap<>();
+            Map<String, String> bars = new LinkedHashMap<>();
+            Map<String, String> label = new HashMap<>();
+            for (Story.Line line : story.lines()) {
+                if (line.item().action() instanceof Action.Dispatch dispatch) {
+                    int number = sent.merge(dispatch.partId(), 1, Integer::sum) - 1;
+                    String key = dispatch.partId() + "#" + number;
+                    sentAt.put(key, line.nowMs());
+                    label.put(key, dispatch.partId() + " at " + dispatch.server());
+                    bars.put(key, bar(line.nowMs(), begun + span, '>'));
+                } else if (line.item().event() instanceof Event.DispatchEnded ended) {
+                    String key = ended.partId() + "#" + ended.number();
+                    if (sentAt.containsKey(key)) {
+                        bars.put(key, bar(sentAt.get(key), line.nowMs(), mark(ended.ending())));
+                    }
+                }
+            }
+            int width = label.values().stream().mapToInt(String::length).max().orElse(0);
+            var lines = new ArrayList<String>();
+            bars.forEach((key, bar) -> lines.add("  " + String.format("%-" + (width + 1) + "s", label.get(key)) + bar));
+            if (!lines.isEmpty()) {
+                lines.add("  " + " ".repeat(width + 1) + "0 ms" + " ".repeat(LINE_WIDTH - 12)
+                        + String.format(Locale.ROOT, "%8.0f ms", span)
+                        + "   + completed, x failed, o never ran, c called off, t timed out, > out");
+            }
+            return lines;
+        }
+
+        private String bar(double from, double to, char end) {
+            int first = (int) Math.round((from - begun) / span * LINE_WIDTH);
+            int last = (int) Math.round((to - begun) / span * LINE_WIDTH);
+            first = Math.max(0, Math.min(LINE_WIDTH, first));
+            last = Math.max(first, Math.min(LINE_WIDTH, last));
+            return " ".repeat(first) + "-".repeat(last - first) + end;
+        }
+
+        private static char mark(Ending ending) {
+            return switch (ending) {
+                case COMPLETED -> '+';
+                case ERROR, RESET -> 'x';
+                case FULL, UNCONNECTED, NEVER_SENT -> 'o';
+                case CANCELLED -> 'c';
+                case TIMED_OUT -> 't';
+            };
+        }
+    }
+
+    private static String ms(double ms) {
+        return String.format(Locale.ROOT, "%.1f ms", ms);
+    }
+
+    private static String percent(double share) {
+        return String.format(Locale.ROOT, "%.0f%%", 100 * share);
+    }
+
+}
--- /dev/null
+++ b/tracetools/src/main/java/sprucehold/tracetools/story/Times.java
@@ -0,0 +1,33 @@
+package sprucehold.tracetools.story;
+
+import java.time.DateTimeException;
+import java.time.Instant;
+import java.time.format.DateTimeFormatter;
+
+/** Times as people write them. */
+public final class Times {
+    private Times() {
+    }
+
+    /** Unix milliseconds as ISO 8601 in UTC; a number that is no time of the last or next 9,999 years as itself. */
+    public static String iso(double unixMs) {
+        if (Double.isNaN(unixMs) || Math.abs(unixMs) > 2e14) {
+            return Double.toString(unixMs);
+        }
+        return DateTimeFormatter.ISO_INSTANT.format(Instant.ofEpochMilli(Math.round(unixMs)));
+    }
+
+    /** Reads ISO 8601 (UTC where no zone is named) or Unix milliseconds. */
+    public static double parse(String text) {
+        try {
+            if (text.matches("-?[0-9]+(\\.[0-9]+)?")) {
+                return Double.parseDouble(text);
+            }
+            return Instant.parse(text.endsWith("Z") || text.matches(".*[+-][0-9]{2}:[0-9]{2}$") ? text : text + "Z")
+                    .toEpochMilli();
+        } catch (DateTimeException e) {
+            throw new IllegalArgumentException("'" + text
+                    + "' is no time: 2026-01-31T09:30:00Z or Unix milliseconds was expected", e);
+        }
+    }
+}
--- /dev/null
+++ b/tracetools/src/main/java/sprucehold/tracetools/summary/TraceSummary.java
@@ -0,0 +1,167 @@
+package sprucehold.tracetools.summary;
+
+import java.io.IOException;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.LongConsumer;
+import java.util.function.Supplier;
+import sprucehold.port.Action;
+import sprucehold.port.Event;
+import sprucehold.port.Reason;
+import sprucehold.trace.book.ScanBook;
+import sprucehold.trace.event.Entry;
+import sprucehold.trace.event.Gap;
+import sprucehold.trace.event.Item;
+import sprucehold.trace.event.Moment;
+import sprucehold.trace.format.TraceReader;
+import sprucehold.tracetools.story.ScanTallies;
+import sprucehold.tracetools.story.ScanTally;
+
+/** Figures of one or several traces, by table type, customer, shard server, reason and time. */
+public final class TraceSummary {
+    /** Beyond so many customers or servers, new ones are counted together: a histogram takes some kilobytes. */
+    private static final int MOST_NAMES = 500;
+    private static final String OTHERS = "(others)";
+    /** Stretches of time on a chart; when there are more, two become one. */
+    private static final int MOST_STRETCHES = 240;
+
+    private final ScanGroup all = new ScanGroup();
+    private final Map<String, ScanGroup> byType = new TreeMap<>();
+    private final Map<String, ScanGroup> byCustomer = new TreeMap<>();
+    private final Map<String, ScanGroup> byGatherer = new TreeMap<>();
+    private final Map<String, ServerGroup> byServer = new TreeMap<>();
+    private final Map<Reason, Long> reasons = new EnumMap<>(Reason.class);
+    private final Map<ScanTally.Outcome, Map<Reason, Long>> outcomes = new EnumMap<>(ScanTally.Outcome.class);
+    private TreeMap<Long, long[]> stretches = new TreeMap<>();
+    private double stretchMs = 1000;
+    private long gaps;
+    private long notRecorded;
+    private long records;
+
+    /** Counts all of a file. */
+    public void add(TraceReader reader, LongConsumer progress) throws IOException {
+        var book = new ScanBook();
+        var tallies = new ScanTallies(tally -> add(tally, reader));
+        TraceReader.Cursor cursor = reader.all();
+        long read = 0;
+        for (Entry entry = cursor.next(); entry != null; entry = cursor.next()) {
+            tallies.add(entry);
+            if (entry instanceof Gap gap) {
+                gaps++;
+                notRecorded += gap.moments();
+            } else if (entry instanceof Moment moment) {
+                for (Item item : moment.items()) {
+                    records++;
+                    book.add(moment.source(), moment.nowMs(), item);
+                    add(item, book.server());
+                }
+            }
+            if (++read % 65_536 == 0) {
+                progress.accept(read);
+            }
+        }
+        tallies.end();
+    }
+
+    private void add(Item item, String server) {
+        if (item.action() != null) {
+            reasons.merge(item.action().reason(), 1L, Long::sum);
+        }
+        if (item.action() instanceof Action.Dispatch dispatch) {
+            of(byServer, dispatch.server(), ServerGroup::new).dispatched();
+            dispatch.passedOver().forEach(passed ->
+                    of(byServer, passed.server(), ServerGroup::new).passedOver(passed.cause()));
+        } else if (item.event() instanceof Event.DispatchEnded ended && server != null) {
+            of(byServer, server, ServerGroup::new).ended(ended.ending(), ended.tookMs());
+        }
+    }
+
+    private void add(ScanTally tally, TraceReader reader) {
+        var source = reader.head().sources().get(tally.scan().source());
+        all.add(tally);
+        byType.computeIfAbsent(tally.scan().taken().type().name(), name -> new ScanGroup()).add(tally);
+        of(byCustomer, tally.customer(), ScanGroup::new).add(tally);
+        of(byGatherer, source.gatherer(), ScanGroup::new).add(tally);
+        outcomes.computeIfAbsent(tally.outcome(), how -> new EnumMap<>(Reason.class))
+                .merge(tally.reason(), 1L, Long::sum);
+        long[] counts = stretches.computeIfAbsent(
+                (long) Math.floor(source.clock().corrected(tally.scan().takenMs()) / stretchMs), at -> new long[4]);
+        counts[0]++;
+        counts[1] += tally.inTargetTime() ? 1 : 0;
+        counts[2] += tally.outcome() == ScanTally.Outcome.THROTTLED ? 1 : 0;
+        counts[3] += tally.outcome() == ScanTally.Outcome.ABANDONED ? 1 : 0;
+        while (stretches.size() > MOST_STRETCHES) {
+            stretchMs *= 2;
+            var wider = new TreeMap<Long, long[]>();
+            stretches.forEach((at, of) -> {
+                long[] sum = wider.computeIfAbsent(Math.floorDiv(at, 2L), none -> new long[4]);
+                for (int i = 0; i < sum.length; i++) {
+                    sum[i] += of[i];
+                }
+            });
+            stretches = wider;
+        }
+    }
+
+    private static <G> G of(Map<String, G> groups, String name, Supplier<G> fresh) {
+        G known = groups.get(name);
+        if (known != null) {
+            return known;
+        }
+        return groups.computeIfAbsent(groups.size() >= MOST_NAMES ? OTHERS : name, none -> fresh.get());
+    }
+
+    public ScanGroup all() {
+        return all;
+    }
+
+    public Map<String, ScanGroup> byType() {
+        return byType;
+    }
+
+    public Map<String, ScanGroup> byCustomer() {
+        return byCustomer;
+    }
+
+    public Map<String, ScanGroup> byGatherer() {
+        return byGatherer;
+    }
+
+    public Map<String, ServerGroup> byServer() {
+        return byServer;
+    }
+
+    /** How many actions were wanted why. */
+    public Map<Reason, Long> reasons() {
+        return reasons;
+    }
+
+    /** How many scans ended how, and why. */
+    public Map<ScanTally.Outcome, Map<Reason, Long>> outcomes() {
+        return outcomes;
+    }
+
+    /** By stretch of {@link #stretchMs}, numbered from 1970: scans, in target time, throttled, abandoned. */
+    public TreeMap<Long, long[]> stretches() {
+        return stretches;
+    }
+
+    public double stretchMs() {
+        return stretchMs;
+    }
+
+    public long gaps() {
+        return gaps;
+    }
+
+    /** Calls of the module that gaps stand for. */
+    public long notRecorded() {
+        return notRecorded;
+    }
+
+    /** Events and actions counted. */
+    public long records() {
+        return records;
+    }
+}
