--- /dev/null
+++ b/gatherer/src/test/java/sprucehold/command/RecordingTest.java
@@ -0,0 +1,50 @@
+package sprucehold.command;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.Stream;
+import org.testng.annotations.Test;
+import sprucehold.brain.Brain;
+import sprucehold.port.Deployment;
+import sprucehold.port.Event;
+import sprucehold.port.Gatherer;
+import sprucehold.trace.event.Moment;
+import sprucehold.trace.format.TraceReader;
+
+public class RecordingTest {
+    private static final Deployment FACTS = new Deployment(1, "a", 5, 1, List.of(), List.of(),
+            new Deployment.Layout(1, 1, 1), new Deployment.Limits(1, 10, false, false, 0),
+            new Deployment.ColdRule(1, 0, 1, 0), Deployment.DispatchBudget.NONE,
+            new Deployment.ListAccess(true, 1000));
+
+    @Test
+    public void switchedOnByAFileItRecordsTheModulesEveryCallWithSeedAndFacts() throws IOException {
+        Path folder = Files.createTempDirectory("recording");
+        Path file = Files.writeString(folder.resolve("recording.json"), "{\"folder\": \".\"}");
+        Recording recording = Recording.read(file, "g7");
+        Gatherer module = recording.of(Brain::new).start(77, FACTS);
+        module.decide(5, List.of(new Event.ListReceived(true, List.of())));
+        module.decide(6, List.of(new Event.ListUnavailable()));
+        recording.end();
+        try (Stream<Path> files = Files.list(folder); TraceReader reader = TraceReader.open(
+                files.filter(of -> of.toString().endsWith(".trace")).findFirst().orElseThrow())) {
+            assertEquals(reader.head().sources().get(0).gatherer(), "g7");
+            assertEquals(reader.head().sources().get(0).seed(), 77);
+            assertEquals(reader.head().sources().get(0).facts(), FACTS);
+            TraceReader.Cursor cursor = reader.all();
+            assertEquals(((Moment) cursor.next()).actions().size(), 1);
+            assertEquals(cursor.next().nowMs(), 6.0);
+        }
+    }
+
+    @Test
+    public void fileThatCantBeUsedKeepsTheGathererFromStarting() throws IOException {
+        Path file = Files.writeString(Files.createTempFile("recording", ".json"), "{\"files\": 3}");
+        assertThrows(IOException.class, () -> Recording.read(file, "g7"));
+    }
+}
--- a/trace/src/main/java/sprucehold/trace/format/TraceWriter.java
+++ b/trace/src/main/java/sprucehold/trace/format/TraceWriter.java
@@ -69,6 +69,7 @@
                 .put(json);
         bytes.putInt(crc(bytes.array(), bytes.position()));
         write(bytes.array());
+        out.flush();
     }
 
     /** Adds an entry; an entry is never split over blocks. */
--- a/trace/src/main/java/sprucehold/trace/record/Recorder.java
+++ b/trace/src/main/java/sprucehold/trace/record/Recorder.java
@@ -44,6 +44,7 @@
     private final AtomicInteger waiting = new AtomicInteger();
     private final Thread thread;
     private volatile boolean closing;
+    private volatile boolean writing;
 
     // Of the event loop alone.
     private long seq;
@@ -62,6 +63,7 @@
     /** Entries of the open block: should it not reach the disk, they are lost. */
     private final List<Entry> inBlock = new ArrayList<>();
     private double latestMs;
+    private long headBytes;
 
     /** Opens files to write to; a test's may fail or be slow. */
     public interface OpenFile {
@@ -114,12 +116,19 @@
         queue.add(Moment.of(0, number, nowMs, events, actions, failed));
     }
 
+    /** Whether all that was taken has been dealt with. */
+    boolean idle() {
+        return queue.isEmpty() && !writing;
+    }
+
     private void run() {
         long flushedAt = System.nanoTime();
         try {
             while (!closing || !queue.isEmpty()) {
+                writing = false;
                 Entry entry = queue.poll(FLUSH_MS / 4, TimeUnit.MILLISECONDS);
                 if (entry != null) {
+                    writing = true;
                     if (entry instanceof Moment moment) {
                         waiting.addAndGet(-moment.items().size());
                     }
@@ -146,7 +155,7 @@
 
     private void write(Entry entry) {
         latestMs = entry.nowMs();
-        FileDuty.Step step = duty.next(entry.nowMs(), writer == null ? 0 : writer.position());
+        FileDuty.Step step = duty.next(entry.nowMs(), writer == null ? 0 : writer.position() - headBytes);
         if (step == FileDuty.Step.DROP) {
             drop(entry);
             return;
@@ -199,6 +208,8 @@
             throw e;
         }
         stream = out;
+        // The head of a large deployment may be larger than a file is to be: only what comes after it counts.
+        headBytes = writer.position();
         if (duty.begun(first.nowMs())) {
             LOG.info("recording again, to " + file);
         }
--- /dev/null
+++ b/trace/src/test/java/sprucehold/trace/format/TraceFileTest.java
@@ -0,0 +1,144 @@
+package sprucehold.trace.format;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertTrue;
+
+import com.google.protobuf.CodedOutputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.zip.Deflater;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import sprucehold.port.Event;
+import sprucehold.trace.event.Entry;
+import sprucehold.trace.event.Head;
+import sprucehold.trace.event.Item;
+import sprucehold.trace.event.Moment;
+
+public class TraceFileTest {
+    private static final Head HEAD = Head.of(Samples.source("g0"));
+
+    @DataProvider
+    Object[][] sizes() {
+        return new Object[][] {{0, true}, {1, true}, {1, false}, {40, true}, {40, false}, {3000, true}};
+    }
+
+    @Test(dataProvider = "sizes")
+    public void whatIsWrittenIsReadAndVerified(int scans, boolean deflate) throws IOException {
+        List<Entry> entries = Samples.entries(scans, scans);
+        Path file = Samples.file(Samples.bytes(HEAD, entries, deflate));
+        try (TraceReader reader = TraceReader.open(file)) {
+            assertNull(reader.damage());
+            assertEquals(reader.head(), HEAD);
+            assertEquals(Samples.all(reader.all()), entries);
+            TraceReader.Verdict verdict = reader.verify();
+            assertTrue(verdict.sound(), verdict.what());
+            assertEquals(verdict.records(), reader.records());
+            assertEquals(verdict.entries(), entries.size());
+        }
+    }
+
+    @Test
+    public void indexFindsEveryBlockOfAScanServerAndTime() throws IOException {
+        List<Entry> entries = Samples.entries(5, 400);
+        Path file = Samples.file(Samples.bytes(HEAD, entries, true));
+        try (TraceReader reader = TraceReader.open(file)) {
+            for (int i = 0; i < entries.size(); i += 37) {
+                if (!(entries.get(i) instanceof Moment moment)
+                        || !(moment.items().get(0).event() instanceof Event.ScanTaken taken)) {
+                    continue;
+                }
+                assertEquals(of(Samples.all(reader.ofScan(taken.id())), taken.id()), of(entries, taken.id()));
+            }
+            // Called off by number alone, so the index has to know where the dispatch went.
+            assertTrue(Samples.all(reader.ofServer("s-3")).size() >= of(entries, "s-3").size());
+            double from = Samples.BEGIN + 50_000;
+            List<Entry> wanted = entries.stream().filter(e -> e.nowMs() >= from && e.nowMs() < from + 5000).toList();
+            assertTrue(!wanted.isEmpty() && Samples.all(reader.between(from, from + 5000)).containsAll(wanted));
+            assertTrue(Samples.all(reader.between(from, from + 5000)).size() < entries.size() / 2);
+            assertTrue(Samples.all(reader.ofScan("no such")).isEmpty());
+        }
+    }
+
+    private static List<Entry> of(List<Entry> entries, String id) {
+        return entries.stream().filter(e -> e instanceof Moment moment && Samples.mentions(moment, id)).toList();
+    }
+
+    @Test
+    public void idsThatComeAgainAreAllFound() throws IOException {
+        var again = new java.util.ArrayList<Entry>();
+        for (int i = 0; i < 60; i++) {
+            Event taken = new Event.ScanTaken(i % 20 == 0 ? "again" : "other-" + i, i + 1, Samples.TYPE, null, 100);
+            again.add(Moment.of(0, i, Samples.BEGIN + i, List.of(taken), List.of(), false));
+        }
+        try (TraceReader reader = TraceReader.open(Samples.file(Samples.bytes(HEAD, again, true)))) {
+            assertEquals(of(Samples.all(reader.ofScan("again")), "again").size(), 3);
+        }
+    }
+
+    @Test
+    public void goldenFileOfVersionOneHoldsItsBytes() throws IOException {
+        List<Entry> entries = Samples.entries(1, 20);
+        byte[] golden;
+        try (InputStream in = TraceFileTest.class.getResourceAsStream("/golden-1.0.trace")) {
+            golden = in.readAllBytes();
+        }
+        assertEquals(Samples.read(Samples.file(golden)), entries);
+        // Stored, not deflated: JDKs may deflate differently.
+        assertEquals(Samples.bytes(HEAD, entries, false), golden);
+    }
+
+    @Test
+    public void unknownRecordsAndFieldsOfANewerMinorVersionAreSkipped() throws IOException {
+        var raw = new ByteArrayOutputStream();
+        var out = CodedOutputStream.newInstance(raw);
+        record(out, RecordKind.MOMENT, 0, 0, 0, 0, 2, 77, 78);
+        record(out, 99, 1, 2, 3);
+        record(out, RecordKind.WOKEN, 5);
+        record(out, 60, 1);
+        record(out, RecordKind.WOKEN);
+        out.flush();
+        List<Entry> read = BlockDecoder.decode(HEAD.sources(), raw.toByteArray());
+        assertEquals(read, List.of(new Moment(0, 0, 0, false, 2, List.of(new Item(0, new Event.Woken(), null),
+                new Item(1, new Event.Woken(), null)))));
+    }
+
+    private static void record(CodedOutputStream out, int kind, int... body) throws IOException {
+        out.writeUInt32NoTag(kind);
+        out.writeUInt32NoTag(body.length);
+        for (int b : body) {
+            out.writeUInt32NoTag(b);
+        }
+    }
+
+    @Test
+    public void fileOfManyRunsIsFoundInAndVerified() throws IOException {
+        // Over twice as many scans as a run holds.
+        int scans = 2 * RunBuilder.MOST_SCANS + 5000;
+        var bytes = new ByteArrayOutputStream();
+        try (var writer = new TraceWriter(bytes, HEAD)) {
+            for (int i = 0; i < scans; i++) {
+                Event taken = new Event.ScanTaken("scan-" + i, i + 1, Samples.TYPE, null, 100);
+                writer.add(Moment.of(0, i, Samples.BEGIN + i, List.of(taken), List.of(), false));
+            }
+        }
+        try (TraceReader reader = TraceReader.open(Samples.file(bytes.toByteArray()))) {
+            for (int i : new int[] {0, RunBuilder.MOST_SCANS + 3, scans - 1}) {
+                assertEquals(of(Samples.all(reader.ofScan("scan-" + i)), "id=scan-" + i + ",").size(), 1);
+            }
+            assertTrue(reader.verify().sound());
+        }
+    }
+
+    @Test
+    public void whatDeflateCantShortenIsStored() {
+        byte[] noise = new byte[500];
+        new java.util.Random(3).nextBytes(noise);
+        byte[] frame = Frame.write(Layout.BLOCK, noise, 0, 0, 0, 0, new Deflater(1, true));
+        assertEquals(frame.length, Layout.FRAME_BYTES + noise.length);
+    }
+}
--- /dev/null
+++ b/trace/src/test/java/sprucehold/trace/record/ThinningTest.java
@@ -0,0 +1,116 @@
+package sprucehold.trace.record;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import sprucehold.port.Action;
+import sprucehold.port.Ending;
+import sprucehold.port.Event;
+import sprucehold.port.Reason;
+import sprucehold.trace.event.Entry;
+import sprucehold.trace.event.Gap;
+import sprucehold.trace.event.Item;
+import sprucehold.trace.event.Moment;
+import sprucehold.trace.format.Samples;
+
+public class ThinningTest {
+    private long seq;
+
+    private Moment moment(double now, List<Event> events, List<Action> actions) {
+        return Moment.of(0, seq++, now, events, actions, false);
+    }
+
+    private Moment taken(String id, long number, double now) {
+        return moment(now, List.of(new Event.ScanTaken(id, number, Samples.TYPE, null, 4000),
+                new Event.PartTaken(id + ".0", number, 0, 1)), List.of(new Action.Dispatch(id + ".0", "s", 3000),
+                new Action.Wake(3)));
+    }
+
+    private Moment ended(String id, double now, Action end) {
+        return moment(now, List.of(new Event.DispatchEnded(id + ".0", 0, Ending.COMPLETED, 10, null),
+                new Event.Woken()), List.of(end));
+    }
+
+    @DataProvider
+    Object[][] endings() {
+        return new Object[][] {
+            // how it ends, how long after it was taken, whether it is always kept
+            {new Action.Answer("s", true, Reason.WHOLE), 100, false},
+            {new Action.Answer("s", true, Reason.WHOLE), 1201, true},
+            {new Action.Answer("s", false, Reason.TARGET_TIME), 100, true},
+            {new Action.Throttle("s", 0, Reason.NO_ROOM), 1, true},
+            {new Action.Abandon("s", Reason.TIME_OVER), 100, true},
+        };
+    }
+
+    @Test(dataProvider = "endings")
+    public void scanThatEndedBadlyOrLateIsKeptWhole(Action end, int after, boolean kept) {
+        // So many that the one scan is never among the one in n by chance.
+        var thinning = new Thinning(Integer.MAX_VALUE);
+        var out = new ArrayList<Entry>();
+        out.addAll(thinning.add(taken("s", 1, 0)));
+        assertTrue(out.isEmpty());
+        out.addAll(thinning.add(ended("s", after, end)));
+        out.addAll(thinning.end());
+        List<Item> items = out.stream().flatMap(entry -> ((Moment) entry).items().stream()).toList();
+        assertEquals(items.size(), kept ? 5 : 0, items.toString());
+        assertEquals(thinning.waiting(), 0);
+    }
+
+    @Test
+    public void oneInNOfTheOthersIsKeptWholeAndInOrder() {
+        var thinning = new Thinning(10);
+        var out = new ArrayList<Entry>();
+        for (int i = 0; i < 2000; i++) {
+            out.addAll(thinning.add(taken("scan-" + i, i + 1, i)));
+            if (i >= 3) {
+                String before = "scan-" + (i - 3);
+                out.addAll(thinning.add(ended(before, i, new Action.Answer(before, true, Reason.WHOLE))));
+            }
+        }
+        out.addAll(thinning.end());
+        Set<String> begun = new HashSet<>();
+        Set<String> done = new HashSet<>();
+        long last = -1;
+        for (Entry entry : out) {
+            assertTrue(entry.seq() > last);
+            last = entry.seq();
+            for (Item item : ((Moment) entry).items()) {
+                if (item.event() instanceof Event.ScanTaken taken) {
+                    begun.add(taken.id());
+                } else if (item.action() instanceof Action.Answer answer) {
+                    done.add(answer.scanId());
+                }
+            }
+        }
+        // Three had not ended when the recording did.
+        assertTrue(begun.containsAll(done) && begun.size() <= done.size() + 3);
+        assertTrue(done.size() > 120 && done.size() < 280, done.size() + " of 2000");
+    }
+
+    @Test
+    public void gapStaysWhereItStood() {
+        var thinning = new Thinning(3);
+        thinning.add(taken("s", 1, 0));
+        thinning.add(new Gap(0, seq++, 1, 1, 1));
+        List<Entry> out = thinning.add(ended("s", 5000, new Action.Answer("s", true, Reason.WHOLE)));
+        assertEquals(out.stream().map(Entry::getClass).toList(), List.of(Moment.class, Gap.class, Moment.class));
+    }
+
+    @Test
+    public void scansThatNeverEndAreHeldOnlySoLong() {
+        var thinning = new Thinning(1000);
+        int released = 0;
+        for (int i = 0; i < 60_000; i++) {
+            released += thinning.add(taken("scan-" + i, i + 1, i)).size();
+        }
+        assertEquals(released, 60_000 - 20_000);
+        assertTrue(thinning.waiting() <= 200_000, thinning.waiting() + " waiting");
+    }
+}
--- /dev/null
+++ b/tracetools/src/test/java/sprucehold/tracetools/Days.java
@@ -0,0 +1,79 @@
+package sprucehold.tracetools;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import sprucehold.brain.Brain;
+import sprucehold.port.Gatherer;
+import sprucehold.trace.event.Entry;
+import sprucehold.trace.event.Head;
+import sprucehold.trace.format.TraceReader;
+import sprucehold.trace.format.TraceRepair;
+import sprucehold.trace.format.TraceWriter;
+import sprucehold.tracetools.synth.DayPlan;
+import sprucehold.tracetools.synth.SyntheticDay;
+
+/** Synthetic days in files of their own. */
+final class Days {
+    private Days() {
+    }
+
+    static Path folder() throws IOException {
+        return Files.createTempDirectory("day");
+    }
+
+    static Path file(Path folder, String name) {
+        return folder.resolve(name);
+    }
+
+    /** Plays a day and writes a file for each gatherer. */
+    static List<Path> play(Path folder, DayPlan plan, Gatherer.Factory factory) throws IOException {
+        var day = new SyntheticDay(plan, factory);
+        var files = new ArrayList<Path>();
+        var writers = new ArrayList<TraceWriter>();
+        for (var source : day.sources()) {
+            Path file = folder.resolve(source.gatherer() + ".trace");
+            files.add(file);
+            writers.add(new TraceWriter(TraceRepair.create(file), Head.of(source)));
+        }
+        day.play(writers.stream().map(writer -> (SyntheticDay.Sink) writer::add).toList(), count -> { });
+        for (TraceWriter writer : writers) {
+            writer.close();
+        }
+        return files;
+    }
+
+    static List<Path> play(Path folder, DayPlan plan) throws IOException {
+        return play(folder, plan, Brain::new);
+    }
+
+    /** Two hours of three gatherers whose clocks differ by seconds. */
+    static DayPlan usual(int scans, long seed) {
+        return new DayPlan(scans, seed, 3, 4, 50, 2, 30, 40);
+    }
+
+    static List<Entry> read(Path file) throws IOException {
+        try (TraceReader reader = TraceReader.open(file)) {
+            return all(reader.all());
+        }
+    }
+
+    static List<Entry> all(TraceReader.Cursor cursor) throws IOException {
+        var entries = new ArrayList<Entry>();
+        for (Entry entry = cursor.next(); entry != null; entry = cursor.next()) {
+            entries.add(entry);
+        }
+        return entries;
+    }
+
+    static Path write(Path file, Head head, List<Entry> entries) throws IOException {
+        try (var writer = new TraceWriter(TraceRepair.create(file), head)) {
+            for (Entry entry : entries) {
+                writer.add(entry);
+            }
+        }
+        return file;
+    }
+}
--- /dev/null
+++ b/tracetools/src/test/java/sprucehold/tracetools/MergeAndCutTest.java
@@ -0,0 +1,258 @@
+package sprucehold.tracetools;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.Test;
+import sprucehold.brain.Brain;
+import sprucehold.port.Action;
+import sprucehold.port.Event;
+import sprucehold.port.Listing;
+import sprucehold.port.Reason;
+import sprucehold.trace.book.BookedScan;
+import sprucehold.trace.book.ScanBook;
+import sprucehold.trace.event.ClockFit;
+import sprucehold.trace.event.Entry;
+import sprucehold.trace.event.Gap;
+import sprucehold.trace.event.Head;
+import sprucehold.trace.event.Item;
+import sprucehold.trace.event.Moment;
+import sprucehold.trace.event.Source;
+import sprucehold.trace.format.TraceReader;
+import sprucehold.tracetools.cut.TraceCut;
+import sprucehold.tracetools.merge.TraceMerge;
+import sprucehold.tracetools.synth.SyntheticDay;
+
+public class MergeAndCutTest {
+    private Path folder;
+    private List<Path> files;
+    private Path merged;
+
+    @BeforeClass
+    public void playADay() throws IOException {
+        folder = Days.folder();
+        files = Days.play(folder, Days.usual(1500, 11));
+        merged = merge("merged", files);
+    }
+
+    private Path merge(String name, List<Path> inputs) throws IOException {
+        Path to = folder.resolve(name + ".trace");
+        TraceMerge.merge(inputs, to, count -> { });
+        return to;
+    }
+
+    private List<Path> cut(Path file, double from, double to, int pieces) throws IOException {
+        var cut = new ArrayList<Path>();
+        try (TraceReader reader = TraceReader.open(file)) {
+            for (int i = 0; i < pieces; i++) {
+                Path piece = folder.resolve("piece-" + i + ".trace");
+                TraceCut.cut(reader, new Head.Window(from + (to - from) * i / pieces,
+                        from + (to - from) * (i + 1) / pieces), piece, count -> { });
+                cut.add(piece);
+            }
+        }
+        return cut;
+    }
+
+    @Test
+    public void dayCutIntoPiecesAndMergedBackIsTheSameEventForEvent() throws IOException {
+        double from = SyntheticDay.BEGIN_MS - 60_000;
+        List<Path> pieces = cut(merged, from, from + 3 * 3_600_000, 24);
+        Collections.shuffle(pieces, new Random(3));
+        assertEquals(Days.read(merge("back", pieces)), Days.read(merged));
+    }
+
+    @Test
+    public void orderOfInputsDoesNotMatterAndMergingTwiceChangesNothing() throws IOException {
+        var turned = new ArrayList<>(files);
+        Collections.reverse(turned);
+        assertEquals(Files.readAllBytes(merge("turned", turned)), Files.readAllBytes(merged));
+        assertEquals(Files.readAllBytes(merge("twice", List.of(merged))), Files.readAllBytes(merged));
+        assertEquals(Files.readAllBytes(merge("again", List.of(files.get(1), merged, files.get(0)))),
+                Files.readAllBytes(merged));
+    }
+
+    @Test
+    public void eachSourcesOwnOrderIsKept() throws IOException {
+        Map<Integer, List<Entry>> bySource = new HashMap<>();
+        Days.read(merged).forEach(entry -> bySource.computeIfAbsent(entry.source(), s -> new ArrayList<>())
+                .add(entry.withSource(0)));
+        try (TraceReader reader = TraceReader.open(merged)) {
+            for (int i = 0; i < 3; i++) {
+                String gatherer = reader.head().sources().get(i).gatherer();
+                assertEquals(bySource.get(i), Days.read(folder.resolve(gatherer + ".trace")));
+            }
+        }
+    }
+
+    @Test
+    public void cutHoldsScansWholeAndEachScanInOnePieceOnly() throws IOException {
+        Map<String, Integer> whole = itemsByScan(merged);
+        int spanning = 0;
+        for (double edge : edges()) {
+            List<Path> pieces = cut(merged, edge - 5000, edge + 5000, 2);
+            Map<String, Integer> before = itemsByScan(pieces.get(0));
+            Map<String, Integer> after = itemsByScan(pieces.get(1));
+            assertTrue(Collections.disjoint(before.keySet(), after.keySet()));
+            before.forEach((scan, items) -> assertEquals(items, whole.get(scan), scan));
+            after.forEach((scan, items) -> assertEquals(items, whole.get(scan), scan));
+            for (Path piece : pieces) {
+                try (TraceReader reader = TraceReader.open(piece)) {
+                    assertTrue(reader.verify().sound());
+                }
+            }
+            try (TraceReader reader = TraceReader.open(pieces.get(0))) {
+                spanning += Days.all(reader.all()).stream().anyMatch(entry -> reader.head().sources()
+                        .get(entry.source()).clock().corrected(entry.nowMs()) > edge) ? 1 : 0;
+            }
+        }
+        assertEquals(spanning, 12);
+    }
+
+    /** Times in the midst of some scans. */
+    private List<Double> edges() throws IOException {
+        var edges = new ArrayList<Double>();
+        try (TraceReader reader = TraceReader.open(merged)) {
+            for (Entry entry : Days.all(reader.all())) {
+                boolean taken = entry instanceof Moment moment && moment.items().stream()
+                        .anyMatch(item -> item.event() instanceof Event.ScanTaken);
+                double at = reader.head().sources().get(entry.source()).clock().corrected(entry.nowMs()) + 2;
+                if (taken && edges.size() < 12 && (edges.isEmpty() || at > edges.get(edges.size() - 1) + 100_000)) {
+                    edges.add(at);
+                }
+            }
+        }
+        return edges;
+    }
+
+    private static Map<String, Integer> itemsByScan(Path file) throws IOException {
+        var book = new ScanBook();
+        Map<String, Integer> items = new HashMap<>();
+        for (Entry entry : Days.read(file)) {
+            if (entry instanceof Moment moment) {
+                for (Item item : moment.items()) {
+                    BookedScan scan = book.add(moment.source(), moment.nowMs(), item);
+                    if (scan != null) {
+                        items.merge(scan.taken().id() + "#" + scan.taken().number() + "@" + scan.source(), 1,
+                                Integer::sum);
+                    }
+                }
+            }
+        }
+        return items;
+    }
+
+    @Test
+    public void clocksAreFittedWithinTheirErrorBars() throws IOException {
+        for (long seed = 1; seed <= 6; seed++) {
+            var day = new SyntheticDay(Days.usual(50, seed), Brain::new);
+            Path of = Days.folder();
+            List<Source> fitted = TraceMerge.merge(Days.play(of, Days.usual(50, seed)), of.resolve("m.trace"),
+                    count -> { }).sources();
+            double middle = SyntheticDay.BEGIN_MS + 3_600_000;
+            int reference = reference(fitted);
+            for (int i = 0; i < 3; i++) {
+                double ahead = day.aheadMs(i, middle) - day.aheadMs(reference, middle);
+                double own = middle + day.aheadMs(i, middle);
+                double off = Math.abs(fitted.get(i).clock().corrected(own) - (own - ahead));
+                assertTrue(off <= Math.max(1e-3, fitted.get(i).clock().errorMs()), "seed " + seed + ", g" + i + ": off by " + off
+                        + " of " + fitted.get(i).clock());
+                assertTrue(fitted.get(i).clock().errorMs() < 300, fitted.get(i).clock().toString());
+            }
+        }
+    }
+
+    private static int reference(List<Source> sources) {
+        for (int i = 0; i < sources.size(); i++) {
+            if (sources.get(i).clock().equals(ClockFit.REFERENCE)) {
+                return i;
+            }
+        }
+        throw new AssertionError("no reference");
+    }
+
+    /** A scan throttled at g0 and asked again at g1, whose clock is four seconds behind. */
+    @Test
+    public void scanAskedAgainAtAGathererFourSecondsBehindComesAfterItsFirst() throws IOException {
+        Source g0 = source("g0", 0);
+        Source g1 = source("g1", -4000);
+        var at0 = new ArrayList<Entry>();
+        var at1 = new ArrayList<Entry>();
+        double t = SyntheticDay.BEGIN_MS;
+        for (int i = 0; i < 12; i++) {
+            Event list = new Event.ListReceived(false, List.of(new Listing("s-" + i, 0, "a", 0,
+                    Listing.Mode.DRAINING)));
+            at0.add(Moment.of(0, at0.size(), t + 100_000 * i + 30, List.of(list), List.of(), false));
+            at1.add(Moment.of(0, at1.size(), t + 100_000 * i + 50 - 4000, List.of(list), List.of(), false));
+        }
+        double asked = t + 1_200_000;
+        at0.add(scan(at0.size(), "first", asked, new Action.Throttle("first", 1000, Reason.NO_ROOM)));
+        at1.add(scan(at1.size(), "again", asked + 1100 - 4000, new Action.Answer("again", true, Reason.WHOLE)));
+        Path to = merge("asked-again", List.of(Days.write(folder.resolve("a1.trace"), Head.of(g1), at1),
+                Days.write(folder.resolve("a0.trace"), Head.of(g0), at0)));
+        List<String> order = new ArrayList<>();
+        for (Entry entry : Days.read(to)) {
+            ((Moment) entry).items().forEach(item -> {
+                if (item.event() instanceof Event.ScanTaken taken) {
+                    order.add(taken.id());
+                }
+            });
+        }
+        assertEquals(order, List.of("first", "again"));
+    }
+
+    private Source source(String name, double started) throws IOException {
+        try (TraceReader reader = TraceReader.open(files.get(0))) {
+            Source of = reader.head().sources().get(0);
+            return new Source(name, "test", 1, SyntheticDay.BEGIN_MS + started, of.facts(), ClockFit.REFERENCE);
+        }
+    }
+
+    private Moment scan(long seq, String id, double now, Action end) throws IOException {
+        return Moment.of(0, seq, now, List.of(new Event.ScanTaken(id, seq, source("x", 0).facts().tableTypes().get(0),
+                null, 3000)), List.of(end), false);
+    }
+
+    @Test
+    public void clockThatStepsBackInsideAFileKeepsItsOwnOrder() throws IOException {
+        var back = new ArrayList<Entry>();
+        for (int i = 0; i < 10; i++) {
+            double now = SyntheticDay.BEGIN_MS + (i < 5 ? 10_000 + i : i);
+            back.add(scan(i, "s" + i, now, new Action.Answer("s" + i, true, Reason.WHOLE)));
+        }
+        back.add(new Gap(0, 10, SyntheticDay.BEGIN_MS + 20, 5, SyntheticDay.BEGIN_MS + 30));
+        Path file = Days.write(folder.resolve("back.trace"), Head.of(source("g9", 7)), back);
+        List<Entry> out = Days.read(merge("stepped", List.of(files.get(0), file)));
+        try (TraceReader reader = TraceReader.open(folder.resolve("stepped.trace"))) {
+            assertTrue(reader.verify().sound());
+            // They share no news, so nothing is known of how the clocks stand, and that is said.
+            assertTrue(reader.head().sources().stream().anyMatch(of -> of.clock().equals(ClockFit.UNKNOWN)));
+            int of = reader.head().sources().get(0).gatherer().equals("g9") ? 0 : 1;
+            assertEquals(out.stream().filter(entry -> entry.source() == of).map(entry -> entry.withSource(0)).toList(),
+                    back);
+        }
+    }
+
+    @Test
+    public void inputsThatTellDifferentThingsOfOneMomentAreRefused() throws IOException {
+        List<Entry> entries = Days.read(files.get(0));
+        Moment first = (Moment) entries.get(0);
+        entries.set(0, new Moment(0, 0, first.nowMs() + 1, false, first.total(), first.items()));
+        Path other;
+        try (TraceReader reader = TraceReader.open(files.get(0))) {
+            other = Days.write(folder.resolve("other.trace"), reader.head(), entries);
+        }
+        assertThrows(IOException.class, () -> merge("refused", List.of(files.get(0), other)));
+    }
+}
--- /dev/null
+++ b/tracetools/src/test/java/sprucehold/tracetools/ReplayAndDiffTest.java
@@ -0,0 +1,127 @@
+package sprucehold.tracetools;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import sprucehold.brain.Brain;
+import sprucehold.port.Action;
+import sprucehold.port.Gatherer;
+import sprucehold.trace.event.Entry;
+import sprucehold.trace.event.Gap;
+import sprucehold.trace.event.Head;
+import sprucehold.trace.event.Moment;
+import sprucehold.trace.format.TraceReader;
+import sprucehold.tracetools.replay.TraceDiff;
+import sprucehold.tracetools.replay.TraceReplay;
+
+public class ReplayAndDiffTest {
+    private Path folder;
+    private List<Path> files;
+    private Head head;
+    private List<Entry> entries;
+
+    @BeforeClass
+    public void playADay() throws IOException {
+        folder = Days.folder();
+        files = Days.play(folder, Days.usual(800, 5));
+        try (TraceReader reader = TraceReader.open(files.get(0))) {
+            head = reader.head();
+            entries = Days.all(reader.all());
+        }
+    }
+
+    private static TraceReplay.Verdict replay(Gatherer.Factory factory, Path... of) throws IOException {
+        var readers = new ArrayList<TraceReader>();
+        for (Path file : of) {
+            readers.add(TraceReader.open(file));
+        }
+        return TraceReplay.replay(readers, factory, count -> { });
+    }
+
+    @Test
+    public void allActionsAreDecidedAgainAlike() throws IOException {
+        TraceReplay.Verdict verdict = replay(Brain::new, files.toArray(new Path[0]));
+        assertNull(verdict.difference());
+        assertTrue(verdict.agreed() > 5000, verdict.agreed() + " actions");
+    }
+
+    @Test
+    public void filesOfOneSourceInAnyOrderAreOneReplay() throws IOException {
+        Path second = Days.write(folder.resolve("2.trace"), head, entries.subList(300, entries.size()));
+        Path first = Days.write(folder.resolve("1.trace"), head, entries.subList(0, 300));
+        TraceReplay.Verdict verdict = replay(Brain::new, second, first);
+        assertNull(verdict.difference());
+        assertEquals(verdict.moments(), entries.size());
+    }
+
+    /** A build that sends every hundredth dispatch elsewhere. */
+    private static Gatherer.Factory changed() {
+        return (seed, facts) -> {
+            var module = new Brain(seed, facts);
+            int[] dispatches = {0};
+            return (now, events) -> module.decide(now, events).stream().map(action -> {
+                if (action instanceof Action.Dispatch d && ++dispatches[0] == 100) {
+                    return new Action.Dispatch(d.partId(), "elsewhere", d.timeoutMs(), d.reason(), d.position(),
+                            d.passedOver());
+                }
+                return action;
+            }).toList();
+        };
+    }
+
+    @Test
+    public void firstActionThatDiffersIsNamed() throws IOException {
+        TraceReplay.Verdict verdict = replay(changed(), files.get(0));
+        assertTrue(verdict.difference().contains("gatherer g0") && verdict.difference().contains("elsewhere"),
+                verdict.difference());
+    }
+
+    @DataProvider
+    Object[][] unplayable() throws IOException {
+        var gap = new ArrayList<>(entries);
+        gap.set(50, new Gap(0, 50, 1, 1, 1));
+        var cut = new ArrayList<>(entries);
+        Moment moment = (Moment) cut.stream().filter(e -> ((Moment) e).items().size() > 3).findFirst().orElseThrow();
+        cut.set(cut.indexOf(moment), moment.withItems(moment.items().subList(0, 2)));
+        return new Object[][] {
+            {"thinned", head.withOneIn(5), entries, "keeps one in 5"},
+            {"gap", head, gap, "were not recorded"}, {"cut", head, cut, "was cut"},
+            {"late", head, entries.subList(10, entries.size()), "files before it"},
+            {"anonymised", new Head(head.sources(), 1, true, null, List.of()), entries, "anonymised"},
+        };
+    }
+
+    @Test(dataProvider = "unplayable")
+    public void whatCantBeDecidedAgainIsRefusedInOneLine(String name, Head of, List<Entry> what, String said)
+            throws IOException {
+        Path file = Days.write(folder.resolve(name + ".trace"), of, what);
+        try {
+            replay(Brain::new, file);
+            throw new AssertionError(name + " was replayed");
+        } catch (TraceReplay.CannotReplayException e) {
+            assertTrue(e.getMessage().contains(said) && e.getMessage().lines().count() == 1, e.getMessage());
+        }
+    }
+
+    @Test
+    public void diffNamesTheFirstDecisionThatParts() throws IOException {
+        Path other = Days.folder();
+        List<Path> changed = Days.play(other, Days.usual(800, 5), changed());
+        try (TraceReader a = TraceReader.open(files.get(0)); TraceReader b = TraceReader.open(changed.get(0));
+                TraceReader again = TraceReader.open(files.get(0))) {
+            List<TraceDiff.Parting> partings = TraceDiff.diff(a, b);
+            assertEquals(partings.size(), 1);
+            assertTrue(partings.get(0).what().startsWith("action Dispatch")
+                    && partings.get(0).what().contains("elsewhere"), partings.toString());
+            assertTrue(TraceDiff.diff(a, again).isEmpty());
+        }
+    }
+}
--- /dev/null
+++ b/tracetools/src/test/java/sprucehold/tracetools/SummaryTest.java
@@ -0,0 +1,126 @@
+package sprucehold.tracetools;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.io.StringReader;
+import java.io.StringWriter;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.apache.commons.csv.CSVFormat;
+import org.apache.commons.csv.CSVRecord;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.Test;
+import sprucehold.port.Action;
+import sprucehold.port.Customer;
+import sprucehold.port.Deployment;
+import sprucehold.port.Event;
+import sprucehold.port.Reason;
+import sprucehold.trace.event.Entry;
+import sprucehold.trace.event.Head;
+import sprucehold.trace.event.Moment;
+import sprucehold.trace.event.Source;
+import sprucehold.trace.format.TraceReader;
+import sprucehold.tracetools.export.TraceExport;
+import sprucehold.tracetools.story.ScanTally;
+import sprucehold.tracetools.story.Story;
+import sprucehold.tracetools.story.Storyteller;
+import sprucehold.tracetools.summary.SummaryPage;
+import sprucehold.tracetools.summary.TraceSummary;
+
+public class SummaryTest {
+    private Path file;
+    private TraceSummary summary;
+
+    @BeforeClass
+    public void playADay() throws IOException {
+        file = Days.play(Days.folder(), Days.usual(1200, 8)).get(1);
+        summary = new TraceSummary();
+        try (TraceReader reader = TraceReader.open(file)) {
+            summary.add(reader, count -> { });
+        }
+    }
+
+    @Test
+    public void summaryAndExportTellTheSame() throws IOException {
+        var csv = new StringWriter();
+        var lines = new StringWriter();
+        try (TraceReader reader = TraceReader.open(file)) {
+            assertEquals(TraceExport.csv(reader, csv), summary.all().scans());
+            assertEquals(TraceExport.jsonLines(reader, lines), reader.records());
+        }
+        assertEquals(lines.toString().lines().count(), summary.records());
+        Map<String, Integer> outcomes = new HashMap<>();
+        int dispatches = 0;
+        int inTime = 0;
+        for (CSVRecord row : CSVFormat.RFC4180.builder().setHeader().setSkipHeaderRecord(true).get()
+                .parse(new StringReader(csv.toString()))) {
+            outcomes.merge(row.get("outcome"), 1, Integer::sum);
+            dispatches += Integer.parseInt(row.get("dispatches"));
+            inTime += Boolean.parseBoolean(row.get("in_target_time")) ? 1 : 0;
+        }
+        for (ScanTally.Outcome outcome : ScanTally.Outcome.values()) {
+            assertEquals((long) outcomes.getOrDefault(outcome.name(), 0), summary.all().of(outcome), outcome.name());
+        }
+        assertEquals(dispatches, summary.all().dispatches());
+        assertEquals(inTime, summary.all().inTargetTime());
+        assertEquals(summary.byServer().values().stream().mapToLong(of -> of.dispatches()).sum(), dispatches);
+        assertEquals(summary.stretches().values().stream().mapToLong(of -> of[0]).sum(), summary.all().scans());
+    }
+
+    @Test
+    public void pageHoldsItsChartsAndNothingFromOutside() {
+        String html = SummaryPage.html(summary, "a day");
+        assertEquals(html.split("<svg").length - 1, 3);
+        String without = html.replaceAll("xmlns(:[a-z]+)?=([\"'])[^\"']*\\2", "");
+        assertFalse(without.contains("http"), "something is loaded from elsewhere");
+    }
+
+    @Test
+    public void hostileNamesStayText() throws IOException {
+        Source source;
+        try (TraceReader reader = TraceReader.open(file)) {
+            source = reader.head().sources().get(0);
+        }
+        Deployment f = source.facts();
+        var evil = new Customer("<script>alert(1)</script>", 1);
+        var facts = new Deployment(f.gatherers(), f.zone(), f.tickMs(), f.overShareBenefit(), f.tableTypes(),
+                List.of(evil), f.layout(), f.limits(), f.coldRule(), f.dispatchBudget(), f.listAccess());
+        List<Entry> entries = List.of(Moment.of(0, 0, 1, List.of(new Event.ScanTaken("s", 1, f.tableTypes().get(0),
+                evil, 1)), List.of(new Action.Throttle("s", 0, Reason.PRESSURE)), false));
+        Path path = Days.write(Days.folder().resolve("evil.trace"), Head.of(new Source("g", "b", 1, 1, facts,
+                source.clock())), entries);
+        var of = new TraceSummary();
+        try (TraceReader reader = TraceReader.open(path)) {
+            of.add(reader, count -> { });
+        }
+        assertFalse(SummaryPage.html(of, "<b>").contains("<script>"));
+    }
+
+    @Test
+    public void storyNamesEachPartsWayAndWhy() throws IOException {
+        try (TraceReader reader = TraceReader.open(file)) {
+            String id = null;
+            for (Entry entry : Days.all(reader.all())) {
+                for (Action action : ((Moment) entry).actions()) {
+                    if (action instanceof Action.Dispatch dispatch && dispatch.reason() == Reason.SECOND_COPY) {
+                        id = dispatch.partId().substring(0, 16);
+                    }
+                }
+            }
+            var collector = new Story.Collector(id);
+            for (Entry entry : Days.all(reader.ofScan(id))) {
+                collector.add(entry);
+            }
+            assertEquals(collector.stories().size(), 1);
+            String told = String.join("\n", Storyteller.tell(collector.stories().get(0),
+                    reader.head().sources().get(0)));
+            assertTrue(told.contains(Reason.SECOND_COPY.words()) && told.contains(Reason.FIRST_ROUND.words())
+                    && told.contains("passed over") && told.contains(" is called off"), told);
+        }
+    }
+}
