--- a/change/src/main/java/sprucehold/change/line/VersionLine.java
+++ b/change/src/main/java/sprucehold/change/line/VersionLine.java
@@ -162,16 +162,21 @@
         watched = false;
         todo.add(new LineAction.StopWatch(undone.number()));
         drop(undone, why);
-        var back = new Version(++last, undone.number(), confirmed.document(), by, undone.number());
-        todo.add(new LineAction.Write(new JournalEntry.Accepted(back, "undo-" + undone.number())));
+        back(undone.number(), by);
+        todo.add(new LineAction.Tell("version " + undone.number() + " is undone, version " + live.number()
+                + " is live: " + why));
+    }
+
+    /** Puts the document last confirmed in force under a new number, as one that was live came after it. */
+    private void back(long undone, String by) {
+        var back = new Version(++last, undone, confirmed.document(), by, undone);
+        todo.add(new LineAction.Write(new JournalEntry.Accepted(back, "undo-" + undone)));
         todo.add(new LineAction.Write(new JournalEntry.Confirmed(back.number())));
         remember(confirmed, Outcome.State.REPLACED, "by version " + back.number());
         confirmed = back;
         live = back;
-        remember(back, Outcome.State.CONFIRMED, "it undoes version " + undone.number());
+        remember(back, Outcome.State.CONFIRMED, "it undoes version " + undone);
         todo.add(new LineAction.Apply(back));
-        todo.add(new LineAction.Tell("version " + undone.number() + " is undone, version " + back.number()
-                + " is live: " + why));
     }
 
     private void drop(Version version, String why) {
@@ -184,6 +189,7 @@
     /** Folds the journal. A version accepted and not yet live is forgotten: nobody was promised that it would go live. */
     private void started(List<JournalEntry> journal) {
         Version unresolved = null;
+        long everLive = 0;
         var accepted = new HashMap<Long, Version>();
         for (JournalEntry entry : journal) {
             if (entry instanceof JournalEntry.Accepted of) {
@@ -193,6 +199,7 @@
                 remember(of.version(), Outcome.State.STAGED, "");
             } else if (entry instanceof JournalEntry.Live of) {
                 unresolved = accepted.get(of.number());
+                everLive = Math.max(everLive, of.number());
             } else if (entry instanceof JournalEntry.Retried of) {
                 unresolved = accepted.get(of.number());
                 deaths.merge(of.number(), 1, Integer::sum);
@@ -220,6 +227,9 @@
         watched = false;
         if (unresolved != null) {
             retry(unresolved, journal);
+        } else if (everLive > live.number()) {
+            // Killed in the midst of an undoing: it is brought to its end.
+            back(everLive, "restart");
         } else {
             todo.add(new LineAction.Apply(live));
         }
@@ -237,7 +247,7 @@
             String why = ASIDE + ": the process died under it " + died + " times";
             remember(version, Outcome.State.SET_ASIDE, why);
             todo.add(new LineAction.Write(new JournalEntry.Dropped(version.number(), why)));
-            todo.add(new LineAction.Apply(live));
+            back(version.number(), "restart");
             todo.add(new LineAction.Tell("version " + version.number() + " is " + why + "; version " + live.number()
                     + " is live"));
             return;
--- a/change/src/main/java/sprucehold/change/server/ServerWords.java
+++ b/change/src/main/java/sprucehold/change/server/ServerWords.java
@@ -71,6 +71,14 @@
         return new Listing(server.server(), server.cell(), server.zone(), started, mode);
     }
 
+    /** Servers that discovery calls running, by cell, whatever the operator says. */
+    public Map<Integer, Set<String>> byCell() {
+        Map<Integer, Set<String>> byCell = new HashMap<>();
+        told.values().stream().filter(server -> server.mode() == Listing.Mode.RUNNING)
+                .forEach(server -> byCell.computeIfAbsent(server.cell(), none -> new HashSet<>()).add(server.server()));
+        return byCell;
+    }
+
     /** Listed servers that may be sent to, by the joined word. */
     public SortedSet<String> running() {
         var running = new TreeSet<String>();
--- /dev/null
+++ b/change/src/test/java/sprucehold/change/ExplorerTest.java
@@ -0,0 +1,378 @@
+package sprucehold.change;
+
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import sprucehold.change.document.Document;
+import sprucehold.change.document.Running;
+import sprucehold.change.line.JournalEntry;
+import sprucehold.change.line.LineAction;
+import sprucehold.change.line.LineEvent;
+import sprucehold.change.line.VersionLine;
+import sprucehold.change.server.ServerWords;
+import sprucehold.port.Event;
+import sprucehold.port.Listing;
+import sprucehold.port.TableType;
+
+/**
+ * Visits every state of a bounded world: three changes, two servers, a drain, a return, crashes between any two steps, a
+ * slow scan. A state is rebuilt by playing its steps again, as the pure parts are deterministic.
+ */
+public class ExplorerTest {
+    /** What is put wrong on purpose. */
+    private enum Mutation {
+        NONE, CONFIRMED_NOT_WRITTEN, APPLIED_BEFORE_WRITTEN, DRAIN_FORGOTTEN_ON_UNDO, OPERATORS_WORD_ALONE,
+        SCAN_TAKES_NEW_TYPE, NUMBERS_FORGOTTEN_ON_RESTART, RESTART_TAKES_STAGED, GIVEN_BACK_AS_WARM
+    }
+
+    private static final TableType ONCE = Documents.usual().types().get(1).facts();
+    private static final Document FIRST = Documents.usual();
+    private static final Document SERVER_OUT = Documents.number(1, "s1");
+    private static final Document FREED = Documents.with(List.of(FIRST.types().get(0),
+            Documents.type("stamps", TableType.Repeat.REPLAYABLE, 800, 2000)), FIRST.customers(), 200);
+    private static final Document SMALLER = Documents.number(-1);
+    private static final List<Document> CHANGES = List.of(SERVER_OUT, FREED, SMALLER);
+
+    /** One state, built by steps from the beginning. */
+    private static final class World {
+        final Mutation mutation;
+        VersionLine line = new VersionLine(FIRST);
+        ServerWords words = new ServerWords();
+        final List<JournalEntry> journal = new ArrayList<>();
+        int writtenBefore;
+        Document inForce = FIRST;
+        final TreeMap<String, Listing.Mode> told = new TreeMap<>();
+        final TreeMap<String, Listing> heard = new TreeMap<>();
+        final TreeSet<String> out = new TreeSet<>();
+        final TreeMap<String, Double> givenBack = new TreeMap<>();
+        TableType slow;
+        int proposed;
+        int toldCount;
+        int crashes;
+        int undos;
+        int slowScans;
+        long greatest = 1;
+        long confirmedSeen = 1;
+        double now = 1;
+        String broken;
+
+        World(Mutation mutation) {
+            this.mutation = mutation;
+            list();
+        }
+
+        private void list() {
+            var servers = new ArrayList<Listing>();
+            for (String server : List.of("s1", "s2")) {
+                Listing.Mode mode = told.getOrDefault(server, Listing.Mode.RUNNING);
+                if (mode != Listing.Mode.GONE) {
+                    servers.add(new Listing(server, 0, "z", 0, mode));
+                }
+            }
+            heard.clear();
+            words.told(new Event.ListReceived(true, servers)).servers().forEach(of -> heard.put(of.server(), of));
+        }
+
+        List<String> enabled() {
+            var steps = new ArrayList<String>();
+            if (proposed < CHANGES.size()) {
+                steps.add("propose");
+            }
+            if (line.staged() != null) {
+                steps.add("moment");
+            }
+            if (line.watched()) {
+                steps.add("fell");
+                steps.add("held");
+            }
+            if (undos < 1 && (line.watched() || line.staged() != null)) {
+                steps.add("undo");
+            }
+            if (toldCount < 3) {
+                for (String server : List.of("s1", "s2")) {
+                    Listing.Mode mode = told.getOrDefault(server, Listing.Mode.RUNNING);
+                    if (mode == Listing.Mode.RUNNING) {
+                        steps.add("drain " + server);
+                    } else {
+                        steps.add("return " + server);
+                    }
+                }
+            }
+            if (slowScans < 1) {
+                steps.add("slow");
+            }
+            if (crashes < 2) {
+                // Killed after any part of what the last step wrote; less was not on the disk.
+                for (int kept = writtenBefore; kept <= journal.size(); kept++) {
+                    steps.add("crash " + kept);
+                }
+            }
+            return steps;
+        }
+
+        void step(String step) {
+            now++;
+            if (step.startsWith("crash")) {
+                crash(Integer.parseInt(step.substring(6)));
+                check(step);
+                return;
+            }
+            writtenBefore = journal.size();
+            switch (step) {
+                case "propose" -> {
+                    on(new LineEvent.Proposed("p" + proposed, "o", line.staged() != null ? line.staged().number()
+                            : line.live().number(), CHANGES.get(proposed), Running.NOTHING));
+                    proposed++;
+                }
+                case "moment" -> on(new LineEvent.BetweenMoments());
+                case "fell" -> on(new LineEvent.Judged(line.live().number(), true, "fell"));
+                case "held" -> on(new LineEvent.Judged(line.live().number(), false, "held"));
+                case "undo" -> {
+                    undos++;
+                    on(new LineEvent.UndoAsked(line.staged() != null ? line.staged().number() : line.live().number(),
+                            "o"));
+                }
+                case "slow" -> {
+                    slowScans++;
+                    slow = inForce.type("stamps").orElseThrow().facts();
+                }
+                default -> {
+                    String server = step.substring(step.length() - 2);
+                    Listing.Mode mode = step.startsWith("drain") ? Listing.Mode.DRAINING : Listing.Mode.RUNNING;
+                    toldCount++;
+                    told.put(server, mode);
+                    hear(words.told(new Event.ListReceived(false, List.of(new Listing(server, 0, "z", 0, mode))))
+                            .servers());
+                }
+            }
+            check(step);
+        }
+
+        private void hear(List<Listing> news) {
+            for (Listing of : news) {
+                Listing.Mode mode = mutation == Mutation.OPERATORS_WORD_ALONE && !out.contains(of.server())
+                        ? Listing.Mode.RUNNING : of.mode();
+                double started = mutation == Mutation.GIVEN_BACK_AS_WARM ? 0 : of.startedAtMs();
+                heard.put(of.server(), new Listing(of.server(), 0, "z", started, mode));
+            }
+        }
+
+        private void on(LineEvent event) {
+            List<LineAction> actions = new ArrayList<>(line.on(event));
+            for (LineAction action : actions) {
+                if (action instanceof LineAction.Write write) {
+                    if (mutation != Mutation.CONFIRMED_NOT_WRITTEN
+                            || !(write.entry() instanceof JournalEntry.Confirmed)) {
+                        journal.add(write.entry());
+                    }
+                } else if (action instanceof LineAction.Apply apply) {
+                    boolean back = apply.version().undoes() > 0;
+                    inForce = apply.version().document();
+                    if (slow != null) {
+                        slow = mutation == Mutation.SCAN_TAKES_NEW_TYPE ? inForce.type("stamps").orElseThrow().facts()
+                                : slow.boundBy(inForce.types().stream().map(Document.Type::facts).toList());
+                    }
+                    for (String server : out) {
+                        if (!inForce.serversOut().contains(server)) {
+                            givenBack.put(server, now);
+                        }
+                    }
+                    out.clear();
+                    out.addAll(inForce.serversOut());
+                    if (mutation == Mutation.DRAIN_FORGOTTEN_ON_UNDO && back) {
+                        words.told(new Event.ListReceived(false, List.of(new Listing("s1", 0, "z", 0,
+                                Listing.Mode.RUNNING))));
+                    }
+                    hear(words.takenOut(inForce.serversOut(), now));
+                    if (apply.version().number() < greatest) {
+                        broken = "version " + apply.version().number() + " after " + greatest;
+                    }
+                    greatest = Math.max(greatest, apply.version().number());
+                    // A crash right after it must find it on the disk.
+                    if (mutation == Mutation.APPLIED_BEFORE_WRITTEN && !journal.isEmpty()) {
+                        journal.remove(journal.size() - 1);
+                    }
+                }
+            }
+            if (!line.watched()) {
+                confirmedSeen = Math.max(confirmedSeen, line.confirmed().number());
+            }
+        }
+
+        private void crash(int kept) {
+            crashes++;
+            boolean lastStepLost = kept < journal.size();
+            journal.subList(kept, journal.size()).clear();
+            if (lastStepLost) {
+                // Nobody was told of what the last step had not finished.
+                confirmedSeen = Math.min(confirmedSeen, journal.stream().filter(JournalEntry.Confirmed.class::isInstance)
+                        .mapToLong(of -> ((JournalEntry.Confirmed) of).number()).max().orElse(1));
+                // Written before it is applied: what isn't written never was in force.
+                greatest = Math.min(greatest, journal.stream().mapToLong(of -> of instanceof JournalEntry.Live live
+                        ? live.number() : of instanceof JournalEntry.Confirmed sure ? sure.number() : 1).max()
+                        .orElse(1));
+            }
+            slow = null;
+            out.clear();
+            givenBack.clear();
+            line = new VersionLine(FIRST);
+            words = new ServerWords();
+            list();
+            writtenBefore = journal.size();
+            List<JournalEntry> read = mutation == Mutation.NUMBERS_FORGOTTEN_ON_RESTART ? journal.stream()
+                    .filter(of -> !(of instanceof JournalEntry.Accepted a) || a.version().undoes() == 0).toList()
+                    : List.copyOf(journal);
+            long before = greatest;
+            greatest = 1;
+            on(new LineEvent.Started(read));
+            greatest = Math.max(before, greatest);
+            if (mutation == Mutation.RESTART_TAKES_STAGED && journal.stream().anyMatch(
+                    JournalEntry.Accepted.class::isInstance)) {
+                var last = (JournalEntry.Accepted) journal.stream().filter(JournalEntry.Accepted.class::isInstance)
+                        .reduce((a, b) -> b).orElseThrow();
+                inForce = last.version().document();
+            }
+            if (line.confirmed().number() < confirmedSeen) {
+                broken = "version " + confirmedSeen + " was confirmed and is " + line.confirmed().number()
+                        + " after the crash";
+            }
+        }
+
+        private void check(String step) {
+            if (!inForce.equals(line.live().document())) {
+                broken = "in force isn't what is live";
+            }
+            if (!inForce.equals(FIRST) && !CHANGES.contains(inForce)) {
+                broken = "a mixture is in force";
+            }
+            for (String server : List.of("s1", "s2")) {
+                Listing of = heard.get(server);
+                Listing.Mode mode = told.getOrDefault(server, Listing.Mode.RUNNING);
+                if (of != null && of.mode() == Listing.Mode.RUNNING
+                        && (mode != Listing.Mode.RUNNING || inForce.serversOut().contains(server))) {
+                    broken = server + " may be sent to against a drain";
+                }
+                if (of != null && of.mode() == Listing.Mode.DRAINING && mode == Listing.Mode.RUNNING
+                        && !inForce.serversOut().contains(server)) {
+                    broken = server + " is held out though nobody wants it";
+                }
+                if (of != null && of.mode() == Listing.Mode.RUNNING && givenBack.containsKey(server)
+                        && of.startedAtMs() < givenBack.get(server)) {
+                    broken = server + " was given back as if warm";
+                }
+            }
+            if (slow != null && slow.repeat() != TableType.Repeat.NON_REPLAYABLE && slowTakenUnderOnce) {
+                broken = "a part in flight was freed";
+            }
+            if (line.staged() != null && line.watched()) {
+                broken = "two changes at a time";
+            }
+            if (line.live().number() < greatest && !step.startsWith("crash")) {
+                broken = "number " + line.live().number() + " after " + greatest;
+            }
+        }
+
+        /** Whether the slow scan was taken while its type was non-replayable. */
+        boolean slowTakenUnderOnce;
+
+        /** Every change can still come to its end from here. */
+        void checkEnds() {
+            if (line.staged() != null) {
+                on(new LineEvent.BetweenMoments());
+            }
+            if (line.watched()) {
+                on(new LineEvent.Judged(line.live().number(), true, "end"));
+            }
+            if (line.staged() != null || line.watched()) {
+                broken = "a change without an end";
+            }
+        }
+
+        String key() {
+            return inForce.limits().maxOpen() + "|" + inForce.serversOut() + "|" + inForce.types().get(1).facts().repeat()
+                    + "|" + line.watched() + "|" + (line.staged() == null ? "" : line.staged().number()) + "|"
+                    + line.live().number() + "|" + line.confirmed().number() + "|" + journal.size() + journal.hashCode()
+                    + "|" + writtenBefore + "|" + told + "|" + heard.values().stream().map(of -> of.mode() + ""
+                    + (of.startedAtMs() > 0)).toList() + "|" + (slow == null ? "" : slow.repeat()) + proposed + toldCount
+                    + crashes + undos + slowScans + slowTakenUnderOnce + greatest + confirmedSeen;
+        }
+    }
+
+    private record Explored(int states, String broken, List<String> steps) {
+    }
+
+    private static World play(Mutation mutation, List<String> steps) {
+        var world = new World(mutation);
+        for (String step : steps) {
+            if (step.equals("slow")) {
+                world.slowTakenUnderOnce = world.inForce.type("stamps").orElseThrow().facts().equals(ONCE);
+            }
+            world.step(step);
+        }
+        return world;
+    }
+
+    /** Breadth first, so that the first trouble found has the fewest steps. */
+    private static Explored explore(Mutation mutation, int depth) {
+        Set<String> seen = new HashSet<>();
+        var queue = new ArrayDeque<List<String>>();
+        queue.add(List.of());
+        seen.add(play(mutation, List.of()).key());
+        while (!queue.isEmpty()) {
+            List<String> steps = queue.poll();
+            World at = play(mutation, steps);
+            for (String step : at.enabled()) {
+                var next = new ArrayList<>(steps);
+                next.add(step);
+                World world = play(mutation, next);
+                if (world.broken == null && seen.add(world.key())) {
+                    if (next.size() < depth) {
+                        queue.add(next);
+                    }
+                    World end = play(mutation, next);
+                    end.checkEnds();
+                    world.broken = end.broken;
+                }
+                if (world.broken != null) {
+                    return new Explored(seen.size(), world.broken, next);
+                }
+            }
+        }
+        return new Explored(seen.size(), null, List.of());
+    }
+
+    @Test
+    public void noInterleavingBreaksAnInvariant() {
+        long begun = System.nanoTime();
+        Explored explored = explore(Mutation.NONE, 9);
+        assertTrue(explored.broken == null, explored.broken + " by " + explored.steps);
+        assertTrue(explored.states > 10_000, explored.states + " states");
+        System.out.println("explored " + explored.states + " states in " + (System.nanoTime() - begun) / 1_000_000
+                + " ms");
+    }
+
+    @DataProvider
+    Object[][] mutations() {
+        var mutations = new ArrayList<Object[]>();
+        for (Mutation mutation : Mutation.values()) {
+            if (mutation != Mutation.NONE) {
+                mutations.add(new Object[] {mutation});
+            }
+        }
+        return mutations.toArray(new Object[0][]);
+    }
+
+    @Test(dataProvider = "mutations")
+    public void whatIsPutWrongOnPurposeIsCaught(Mutation mutation) {
+        Explored explored = explore(mutation, 7);
+        assertTrue(explored.broken != null, mutation + " was not caught in " + explored.states + " states");
+    }
+}
--- /dev/null
+++ b/change/src/test/java/sprucehold/change/JournalFileTest.java
@@ -0,0 +1,97 @@
+package sprucehold.change;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import org.testng.annotations.Test;
+import sprucehold.change.journal.JournalFile;
+import sprucehold.change.line.JournalEntry;
+import sprucehold.change.line.Version;
+
+public class JournalFileTest {
+    private static final List<JournalEntry> ENTRIES = List.of(
+            new JournalEntry.Accepted(new Version(2, 1, Documents.number(1, "s-1"), "näher", 0), "p-1"),
+            new JournalEntry.Live(2), new JournalEntry.Retried(2), new JournalEntry.Dropped(2, "fell\nby much"),
+            new JournalEntry.Accepted(new Version(3, 2, Documents.usual(), "watch", 2), "undo-2"),
+            new JournalEntry.Confirmed(3), new JournalEntry.Ended());
+
+    private static Path written() throws IOException {
+        Path file = Files.createTempFile("journal", ".log");
+        try (JournalFile journal = JournalFile.open(file)) {
+            for (JournalEntry entry : ENTRIES) {
+                journal.write(entry);
+            }
+        }
+        return file;
+    }
+
+    private static List<JournalEntry> read(Path file) throws IOException {
+        try (JournalFile journal = JournalFile.open(file)) {
+            return journal.entries();
+        }
+    }
+
+    @Test
+    public void whatIsWrittenIsReadAndGoesOn() throws IOException {
+        Path file = written();
+        assertEquals(read(file), ENTRIES);
+        try (JournalFile journal = JournalFile.open(file)) {
+            assertNull(journal.cutOff());
+            journal.write(new JournalEntry.Live(4));
+        }
+        assertEquals(read(file).size(), ENTRIES.size() + 1);
+    }
+
+    @Test
+    public void cutOffAtAnyByteItHoldsAllWholeLinesAndIsWrittenOn() throws IOException {
+        byte[] all = Files.readAllBytes(written());
+        Path file = Files.createTempFile("journal", ".log");
+        for (int length = 0; length < all.length; length++) {
+            Files.write(file, Arrays.copyOf(all, length));
+            long whole = 0;
+            for (int i = 0; i < length; i++) {
+                whole += all[i] == '\n' ? 1 : 0;
+            }
+            try (JournalFile journal = JournalFile.open(file)) {
+                assertEquals(journal.entries(), ENTRIES.subList(0, (int) whole));
+                assertEquals(journal.cutOff() == null, length == 0 || all[length - 1] == '\n');
+                journal.write(new JournalEntry.Live(9));
+            }
+            List<JournalEntry> after = read(file);
+            assertEquals(after.size(), whole + 1);
+            assertEquals(after.get(after.size() - 1), new JournalEntry.Live(9));
+        }
+    }
+
+    @Test
+    public void everyFlippedBitEndsTheJournalBeforeItsLine() throws IOException {
+        byte[] all = Files.readAllBytes(written());
+        Path file = Files.createTempFile("journal", ".log");
+        for (int bit = 0; bit < 8 * all.length; bit += 3) {
+            byte[] flipped = all.clone();
+            flipped[bit / 8] ^= (byte) (1 << bit % 8);
+            Files.write(file, flipped);
+            List<JournalEntry> read = read(file);
+            // A hex digit in capitals is the same number; everything else ends it.
+            assertEquals(read, ENTRIES.subList(0, read.size()), "bit " + bit);
+        }
+    }
+
+    @Test
+    public void oneOwnerAtATime() throws IOException {
+        Path file = written();
+        try (JournalFile journal = JournalFile.open(file)) {
+            assertNotNull(journal);
+            assertThrows(IOException.class, () -> JournalFile.open(file));
+        }
+        assertTrue(read(file).size() == ENTRIES.size());
+    }
+}
--- a/cli/src/test/java/sprucehold/ArchitectureTest.java
+++ b/cli/src/test/java/sprucehold/ArchitectureTest.java
@@ -19,9 +19,10 @@
         "sprucehold.brain.."};
     private static final String[] TRACE = {"sprucehold.trace.."};
     private static final String[] TOOLS = {"sprucehold.tracetools.."};
+    private static final String[] CHANGE = {"sprucehold.change.."};
     private static final String[] STANDIN = {"sprucehold.standin.."};
     private static final String[] GATHERER = {"sprucehold.node..", "sprucehold.clients..", "sprucehold.shards..",
-        "sprucehold.discovery..", "sprucehold.drill..", "sprucehold.command.."};
+        "sprucehold.discovery..", "sprucehold.drill..", "sprucehold.door..", "sprucehold.command.."};
     private static final String[] CLI = {"sprucehold.cli.."};
 
     private static String[] join(String[]... groups) {
@@ -33,14 +34,22 @@
         return new Object[][] {
             {"no circle of packages", slices().matching("sprucehold.(**)").should().beFreeOfCycles()},
             {"core is below all", noClasses().that().resideInAnyPackage(CORE).should().dependOnClassesThat()
-                    .resideInAnyPackage(join(TRACE, TOOLS, STANDIN, GATHERER, CLI))},
+                    .resideInAnyPackage(join(TRACE, TOOLS, CHANGE, STANDIN, GATHERER, CLI))},
             {"stand-ins are above core alone", noClasses().that().resideInAnyPackage(STANDIN).should()
-                    .dependOnClassesThat().resideInAnyPackage(join(TRACE, TOOLS, GATHERER, CLI))},
+                    .dependOnClassesThat().resideInAnyPackage(join(TRACE, TOOLS, CHANGE, GATHERER, CLI))},
             {"trace is above core alone", noClasses().that().resideInAnyPackage(TRACE).should()
-                    .dependOnClassesThat().resideInAnyPackage(join(TOOLS, STANDIN, GATHERER, CLI))},
+                    .dependOnClassesThat().resideInAnyPackage(join(TOOLS, CHANGE, STANDIN, GATHERER, CLI))},
             {"the gatherer is below the command line and knows no tool", noClasses().that()
                     .resideInAnyPackage(GATHERER).should().dependOnClassesThat()
                     .resideInAnyPackage(join(TOOLS, CLI))},
+            {"changes are above core alone", noClasses().that().resideInAnyPackage(CHANGE).should()
+                    .dependOnClassesThat().resideInAnyPackage(join(TRACE, TOOLS, STANDIN, GATHERER, CLI))},
+            {"changes are decided without files, clocks or threads", noClasses().that()
+                    .resideInAnyPackage("sprucehold.change.document..", "sprucehold.change.line..",
+                            "sprucehold.change.watch..", "sprucehold.change.server..", "sprucehold.change.rollout..")
+                    .should().dependOnClassesThat().resideInAnyPackage("java.nio.file..", "java.nio.channels..",
+                            "java.util.concurrent..", "java.time..").orShould()
+                    .callMethod(System.class, "nanoTime").orShould().callMethod(System.class, "currentTimeMillis")},
             {"tools are above the trace alone", noClasses().that().resideInAnyPackage(TOOLS).should()
                     .dependOnClassesThat().resideInAnyPackage(join(STANDIN, GATHERER, CLI))},
             {"nothing imports the root package", noClasses().should().dependOnClassesThat()
--- a/core/src/main/java/sprucehold/brain/Brain.java
+++ b/core/src/main/java/sprucehold/brain/Brain.java
@@ -29,17 +29,15 @@
  *
  * <p>The design (docs/design.md) decides the ordinary path: rounds, their width, and the position rule.
  * Beside it stand six mechanisms:
- * <ol>
- * <li>set-aside: a late shard server has fewer parts out, one that fails in a row none, then a few more;
+ * <ol><li>set-aside: a late shard server has fewer parts out, one that fails in a row none, then a few more;
  * <li>cold budget: a server that has just started is sent this gatherer's part of its limit, or by lot;
  * <li>list following: nothing goes to a server reported draining or gone; the list is asked for if need be;
  * <li>further dispatches: other tries and second copies, within what table type, limits and budget allow;
  * <li>throttling: scans that would come to nothing are turned away as they arrive;
- * <li>endings: when a scan is answered, and when it is given up.
- * </ol>
+ * <li>endings: when a scan is answered, and when it is given up.</ol>
  */
 public final class Brain implements Gatherer {
-    private final Deployment facts;
+    private Deployment facts;
     private final Random chance;
     /** More gatherers than a server's usual room: rooms of one each overfill it, and only its times tell. */
     private final boolean crowded;
@@ -52,12 +50,11 @@
     /** Scans not begun and parts not sent because their servers have no room yet. */
     private final List<Scan> waiting = new ArrayList<>();
     private final List<Part> waitingParts = new ArrayList<>();
-    private double lookAgainAt;
-    private double lookedAt;
+    private double lookAgainAt, lookedAt;
     private final Map<String, Srv> srvsById = new TreeMap<>();
     /** The listed servers of each cell, in the order of their ids: the same at every gatherer. */
     private final List<List<Srv>> cells = new ArrayList<>();
-    private final Map<TableType, Times> timesByType = new HashMap<>();
+    private final Map<String, Times> timesByType = new HashMap<>();
     private final Map<Customer, Double> allowances = new HashMap<>();
     private final Map<Customer, Double> brokenUntil = new HashMap<>();
 
@@ -73,9 +70,8 @@
 
     private static final class Scan {
         final Event.ScanTaken taken;
-        final TableType type;
-        final double takenAt;
-        final double endsAt;
+        TableType type;
+        final double takenAt, endsAt;
         List<Part> parts = new ArrayList<>();
         List<Round> rounds = new ArrayList<>();
         int position;
@@ -173,9 +169,7 @@
         double answeredAt = Double.NEGATIVE_INFINITY;
         /** When the latest part that it has answered went out. */
         double answeredOfAt = Double.NEGATIVE_INFINITY;
-        double failedAt;
-        double asideUntil;
-        double asideMs;
+        double failedAt, asideUntil, asideMs;
         final ArrayDeque<double[]> coldSends = new ArrayDeque<>();
         double lotUntil;
         boolean lotWon;
@@ -233,15 +227,22 @@
     }
 
     public Brain(long seed, Deployment facts) {
-        this.facts = facts;
         this.chance = new Random(seed);
         this.crowded = facts.gatherers() > Srv.USUAL_ROOM;
         for (int i = 0; i < facts.layout().cells(); i++) {
             cells.add(new ArrayList<>());
         }
+        change(facts);
+    }
+
+    /** Scans taken from now on go by these facts; open ones keep theirs, but where a part may now run less often. */
+    private void change(Deployment next) {
+        facts = next;
         // 200: some ten seconds of a quiet gatherer's parts.
-        facts.tableTypes().forEach(type -> timesByType.put(type, new Times(200)));
-        facts.customers().forEach(customer -> allowances.put(customer, 4.0));
+        facts.tableTypes().forEach(type -> timesByType.putIfAbsent(type.name(), new Times(200)));
+        allowances.keySet().retainAll(facts.customers());
+        facts.customers().forEach(customer -> allowances.putIfAbsent(customer, 4.0));
+        scansByNumber.values().forEach(scan -> scan.type = scan.type.boundBy(facts.tableTypes()));
     }
 
     @Override
@@ -269,6 +270,8 @@
                 listReceived(list);
             } else if (event instanceof Event.ListUnavailable) {
                 listUnavailable();
+            } else if (event instanceof Event.FactsChanged changed) {
+                change(changed.facts());
             }
         }
         while (!takenAt.isEmpty() && takenAt.peek() <= now - facts.dispatchBudget().windowMs()) {
@@ -583,7 +586,7 @@
     /** How long a part may be out before its server is held to be late with it. */
     private double lateAfter(TableType type) {
         double half = type.targetMs() / 2;
-        return Math.min(half, 1.5 * timesByType.get(type).quantile(0.9, half));
+        return Math.min(half, 1.5 * timesByType.get(type.name()).quantile(0.9, half));
     }
 
     // ---- Cold budget ----
@@ -596,7 +599,7 @@
 
     private double workOf(TableType type) {
         // The shortest tenth of the times has next to no waiting in it; at first, a quarter target.
-        return timesByType.get(type).quantile(0.1, type.targetMs() / 4);
+        return timesByType.get(type.name()).quantile(0.1, type.targetMs() / 4);
     }
 
     private boolean coldRoom(Srv srv, Part part) {
@@ -734,8 +737,7 @@
         if (part.isOut() && !facts.limits().secondCopies() || held(part)) {
             return false;
         }
-        boolean mayHaveRun = part.mayHaveRun || part.isOut();
-        if (mayHaveRun && (scan.type.repeat() == TableType.Repeat.NON_REPLAYABLE
+        if ((part.mayHaveRun || part.isOut()) && (scan.type.repeat() == TableType.Repeat.NON_REPLAYABLE
                 || scan.type.repeat() == TableType.Repeat.KEYED
                 && now > part.sent.get(0).at + scan.type.keyedWindowMs() - 2 * facts.tickMs())) {
             return false;
@@ -811,7 +813,7 @@
         sent.srv.out.remove(sent);
         part.mayHaveRun |= !ended.ending().provesNeverRan;
         if (ended.ending() == Ending.COMPLETED) {
-            timesByType.get(scan.type).add(ended.tookMs());
+            timesByType.get(scan.type.name()).add(ended.tookMs());
             sent.srv.answeredAt = now;
             sent.srv.answeredOfAt = Math.max(sent.srv.answeredOfAt, sent.at);
             if (!sent.overdue) {
@@ -882,7 +884,7 @@
             }
         }
         // A client that more likely than not leaves before all needed parts are in only takes servers from others.
-        double usual = timesByType.get(scan.type).quantile(Math.pow(0.5, 1.0 / scan.needed()), 0);
+        double usual = timesByType.get(scan.type.name()).quantile(Math.pow(0.5, 1.0 / scan.needed()), 0);
         if (scan.endsAt < scan.targetAt() && scan.endsAt - now < usual) {
             throttle(scan, Reason.CLIENT_TOO_SHORT);
             return Admission.NEVER;
@@ -913,9 +915,7 @@
 
     /** Recent parts' times as thousandths of their target time. */
     private final Times slowness = new Times(32);
-    private double pressure;
-    private double pressureAt;
-    private double usualBenefit;
+    private double pressure, pressureAt, usualBenefit;
 
     /**
      * Whether a scan is turned away because the fleet as a whole is slow: while even the quicker two fifths
@@ -982,7 +982,6 @@
             return;
         }
         Round round = scan.rounds.get(scan.rounds.size() - 1);
-        // Over when all its parts are settled.
         if (round.parts.stream().allMatch(p -> p.completed || !p.isOut() && !mayDispatch(p))) {
             endRound(scan, round);
         }
--- a/core/src/main/java/sprucehold/facts/Facts.java
+++ b/core/src/main/java/sprucehold/facts/Facts.java
@@ -13,20 +13,23 @@
  * @param deployment what bears on decisions
  * @param segments how many segments there are
  * @param longestTimeoutMs the longest query timeout of any table type
+ * @param timeoutsMs the query timeout of each table type, in their order
  * @param loadFields the values of a load report, in the order of the bench's wire; empty where there are none
  * @param loadByProbe whether load reports come with probes
  */
 public record Facts(Deployment deployment, Connections connections, int segments, double longestTimeoutMs,
-        List<String> loadFields, boolean loadByProbe) {
+        List<Double> timeoutsMs, List<String> loadFields, boolean loadByProbe) {
 
     public static Facts read(JsonNode settings) throws MalformedFactsException {
         JsonNode family = settings.path("familyInfo");
         JsonNode limits = settings.path("limits");
         JsonNode feedback = settings.path("feedback");
         var types = new ArrayList<TableType>();
+        var timeouts = new ArrayList<Double>();
         double longestTimeout = 0;
         for (JsonNode node : settings.path("classes")) {
             types.add(tableType(node, family, types.size()));
+            timeouts.add(node.path("giveUpMs").doubleValue());
             longestTimeout = Math.max(longestTimeout, node.path("giveUpMs").doubleValue());
         }
         var customers = new ArrayList<Customer>();
@@ -41,7 +44,7 @@
                 deployment(settings, List.copyOf(types), List.copyOf(customers)),
                 new Connections(limits.path("dialTimeoutMs").doubleValue(), limits.path("idleCloseMs").doubleValue(),
                         Math.max(1, limits.path("streamsPerConn").asInt(1))),
-                family.path("ranges").intValue(), longestTimeout, List.copyOf(loadFields),
+                family.path("ranges").intValue(), longestTimeout, List.copyOf(timeouts), List.copyOf(loadFields),
                 feedback.path("source").asText().equals("probe"));
     }
 
--- a/core/src/main/java/sprucehold/picker/Picker.java
+++ b/core/src/main/java/sprucehold/picker/Picker.java
@@ -30,10 +30,10 @@
     private static final Logger LOG = Logger.getLogger(Picker.class.getName());
 
     private final Gatherer gatherer;
-    private final int maxOpen;
+    private int maxOpen;
     private final double tickMs;
-    private final Map<String, TableType> tableTypes;
-    private final Map<String, Customer> customers;
+    private Map<String, TableType> tableTypes;
+    private Map<String, Customer> customers;
     private final Map<String, OpenScan> scans = new HashMap<>();
     /** Parts of open scans, and of others while a dispatch is out. */
     private final Map<String, OpenPart> parts = new HashMap<>();
@@ -56,12 +56,23 @@
 
     public Picker(Gatherer gatherer, Deployment deployment) {
         this.gatherer = gatherer;
-        this.maxOpen = deployment.limits().maxOpen();
         this.tickMs = Math.max(1, deployment.tickMs());
-        this.tableTypes = deployment.tableTypes().stream()
-                .collect(Collectors.toMap(TableType::name, Function.identity()));
-        this.customers = deployment.customers().stream()
-                .collect(Collectors.toMap(Customer::name, Function.identity()));
+        take(deployment);
+    }
+
+    private void take(Deployment deployment) {
+        maxOpen = deployment.limits().maxOpen();
+        tableTypes = deployment.tableTypes().stream().collect(Collectors.toMap(TableType::name, Function.identity()));
+        customers = deployment.customers().stream().collect(Collectors.toMap(Customer::name, Function.identity()));
+    }
+
+    /** Other facts hold from now on, in one step, for scans picked from now on. */
+    public Orders change(double nowMs, Deployment deployment) {
+        now = nowMs;
+        take(deployment);
+        events.add(new Event.FactsChanged(deployment));
+        decide(List.of());
+        return orders();
     }
 
     /** Whether a scan of this id is still open, or something of it is still out. */
@@ -70,12 +81,17 @@
                 || scan.parts().stream().anyMatch(part -> parts.containsKey(scan.id() + "." + part.segment()));
     }
 
+    /** Scans and parts that count against what may be open. */
+    public int held() {
+        return scans.size() + openParts;
+    }
+
     public int openScans() {
         return scans.size();
     }
 
     /** How much is in the books, for scans of whatever age. */
-    int held() {
+    int booked() {
         return scans.size() + parts.size() + openParts + ends.size() + patience.size() + events.size();
     }
 
@@ -94,7 +110,8 @@
      */
     public Orders pick(double nowMs, Scan scan, double mostMs) {
         now = nowMs;
-        if (scans.size() + openParts >= maxOpen) {
+        // A type may have gone by a change since the scan was read.
+        if (scans.size() + openParts >= maxOpen || !tableTypes.containsKey(scan.tableType())) {
             replies.add(new Orders.Reply(scan, new Answer.Throttled(0)));
             return orders();
         }
--- a/core/src/main/java/sprucehold/port/Event.java
+++ b/core/src/main/java/sprucehold/port/Event.java
@@ -34,6 +34,13 @@
     record ProbeEnded(String server, Ending ending, double tookMs, LoadReport load) implements Event {
     }
 
+    /**
+     * Other facts hold from this moment on, for what comes after it. Gatherers, zone, layout and tick stay; open scans
+     * end under the facts that they were taken under, but where a part may now run less often than before.
+     */
+    record FactsChanged(Deployment facts) implements Event {
+    }
+
     /** The time asked for by an {@link Action.Wake} has come. */
     record Woken() implements Event {
     }
--- a/core/src/test/java/sprucehold/brain/BrainTest.java
+++ b/core/src/test/java/sprucehold/brain/BrainTest.java
@@ -834,4 +834,77 @@
         assertEquals(play.all(Action.Cancel.class).stream().map(Action::reason).toList(),
                 List.of(Reason.CLIENT_LEFT, Reason.CLIENT_LEFT));
     }
+
+    private static Deployment facts(Play play, List<TableType> types) {
+        return new Deployment(1, "z", 5, 0.2, types, play.customers, play.layout, play.limits, play.coldRule,
+                play.budget, play.listAccess);
+    }
+
+    private static TableType repeat(TableType type, TableType.Repeat repeat, double window) {
+        return new TableType(type.name(), repeat, type.targetMs(), 1, 0.1, window, 1, 1, 0);
+    }
+
+    @DataProvider
+    Object[][] retyped() {
+        TableType.Repeat replayable = TableType.Repeat.REPLAYABLE;
+        TableType.Repeat once = TableType.Repeat.NON_REPLAYABLE;
+        return new Object[][] {
+            // type as the scan was taken, what it turns into while its part is out, whether an error is tried again
+            {Play.ONCE, repeat(Play.ONCE, replayable, 0), false}, {Play.ALL, repeat(Play.ALL, once, 0), false},
+            {Play.ALL, repeat(Play.ALL, replayable, 0), true}, {Play.KEYED, repeat(Play.KEYED, replayable, 0), true},
+            {Play.KEYED, repeat(Play.KEYED, TableType.Repeat.KEYED, 20), false},
+            {Play.KEYED, repeat(Play.KEYED, TableType.Repeat.KEYED, 9000), true},
+        };
+    }
+
+    @Test(dataProvider = "retyped")
+    public void partThatIsOutIsNeverFreedByAChangeOfItsType(TableType before, TableType after, boolean again) {
+        Play play = fresh().start();
+        play.scan("s", before, 1, 4000);
+        play.tell(new Event.FactsChanged(facts(play, List.of(after))));
+        play.now += 50;
+        play.end("s/0", 0, Ending.ERROR);
+        assertEquals(play.dispatches().get("s/0").size(), again ? 2 : 1);
+    }
+
+    @Test
+    public void keyedWindowNeverGrowsOverADispatchAlreadyMade() {
+        Play play = fresh().start();
+        play.scan("s", Play.KEYED, 1, 4000);
+        play.tell(new Event.FactsChanged(facts(play, List.of(repeat(Play.KEYED, TableType.Repeat.KEYED, 9000)))));
+        play.now += 1600;
+        play.end("s/0", 0, Ending.ERROR);
+        assertEquals(play.dispatches().get("s/0").size(), 1);
+    }
+
+    @Test
+    public void scansTakenAfterAChangeGoByTheNewFactsAndOpenOnesByTheirs() {
+        Play play = fresh().start();
+        var wide = new TableType("any", TableType.Repeat.REPLAYABLE, 1000, 1, 0.1, 0, 1, 1, 0);
+        play.scan("old", Play.ANY, 9, 4000);
+        play.tell(new Event.FactsChanged(facts(play, List.of(wide))));
+        play.done.clear();
+        play.scan("new", wide, 4, 4000);
+        assertEquals(play.all(Action.Dispatch.class).size(), 4);
+        for (int i = 0; i < 7; i++) {
+            play.end("old/" + i, 0, Ending.COMPLETED);
+        }
+        assertTrue(play.endings().contains("answer whole"), "seven of nine were enough when it was taken");
+    }
+
+    @Test
+    public void customerRemovedWithScansOpenLeavesThemServed() {
+        Play play = fresh();
+        play.customers = List.of(new Customer("acme", 10));
+        play.start().scan("s", Play.ALL, 1, 4000);
+        Deployment now = facts(play, List.of(Play.ALL));
+        play.tell(new Event.FactsChanged(new Deployment(1, "z", 5, 0.2, List.of(Play.ALL), List.of(), now.layout(),
+                now.limits(), now.coldRule(), now.dispatchBudget(), now.listAccess())));
+        play.end("s/0", 0, Ending.COMPLETED);
+        assertEquals(play.endings(), List.of("answer whole"));
+        play.customers = List.of();
+        play.scan("t", Play.ALL, 1, 4000);
+        play.end("t/0", 0, Ending.COMPLETED);
+        assertEquals(play.endings(), List.of("answer whole", "answer whole"));
+    }
 }
--- a/core/src/test/java/sprucehold/picker/PickerTest.java
+++ b/core/src/test/java/sprucehold/picker/PickerTest.java
@@ -219,7 +219,7 @@
             ended(i, out.get(2), new Outcome.CalledOff(Progress.WRITTEN));
         }
         picker.tick(1000);
-        assertEquals(picker.held(), 0);
+        assertEquals(picker.booked(), 0);
     }
 
     @Test
--- a/gatherer/src/main/java/sprucehold/command/Main.java
+++ b/gatherer/src/main/java/sprucehold/command/Main.java
@@ -9,6 +9,7 @@
 import picocli.CommandLine.IVersionProvider;
 import picocli.CommandLine.Option;
 import sprucehold.brain.Brain;
+import sprucehold.door.DoorPlan;
 import sprucehold.drill.Drill;
 import sprucehold.node.Rehearsal;
 import sprucehold.node.Seat;
@@ -99,15 +100,19 @@
                 description = "records every decision as this file says, see deploy/recording.schema.json "
                         + "(default: $SPRUCEHOLD_RECORDING, or none)")
         private Path recording;
+        @Option(names = "--door", paramLabel = "FILE", description = "opens a door through which facts are changed "
+                + "while it serves, see deploy/door.schema.json")
+        private Path door;
 
         @Override
         public Integer call() throws IOException, Service.StartFailedException {
             Seat seat = place.seat();
+            DoorPlan plan = door == null ? null : DoorPlan.read(door);
             if (recording == null) {
-                Service.start(seat, Brain::new, Brain::new, place::reread, () -> { });
+                Service.start(seat, Brain::new, Brain::new, plan, place::reread, () -> { });
             } else {
                 Recording recorded = Recording.read(recording, seat.name());
-                Service.start(seat, Brain::new, recorded.of(Brain::new), place::reread, recorded::end);
+                Service.start(seat, Brain::new, recorded.of(Brain::new), plan, place::reread, recorded::end);
             }
             return CommandLine.ExitCode.OK;
         }
--- /dev/null
+++ b/gatherer/src/main/java/sprucehold/door/Door.java
@@ -0,0 +1,272 @@
+package sprucehold.door;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpConnection;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import java.util.logging.Logger;
+import sprucehold.change.document.Difference;
+import sprucehold.change.document.Document;
+import sprucehold.change.document.DocumentReader;
+import sprucehold.change.document.Fault;
+import sprucehold.change.document.MeaningCheck;
+import sprucehold.change.line.LineAction;
+import sprucehold.change.line.Outcome;
+import sprucehold.change.line.Version;
+import sprucehold.change.line.VersionLine;
+
+/** The HTTP server of the door: one JSON object in, one out. */
+public final class Door {
+    private static final Logger LOG = Logger.getLogger(Door.class.getName());
+    /** Operators are few; a door that is flooded must not take the descriptors that clients need. */
+    private static final int MOST_CONNECTIONS = 16;
+    /** A proposal's document and what stands round it. */
+    private static final int MOST_BYTES = DocumentReader.MOST_BYTES + 4096;
+    /** Who sends nothing, or reads nothing, for so long is closed. */
+    private static final int IDLE_S = 10;
+    private static final ObjectMapper MAPPER = JsonMapper.builder().build();
+
+    private final Vertx vertx;
+    private final ChangeDesk desk;
+    private final byte[] tokenDigest;
+    private final Set<HttpConnection> connections = new HashSet<>();
+    private HttpServer server;
+
+    public Door(Vertx vertx, String token, ChangeDesk desk) {
+        this.vertx = vertx;
+        this.desk = desk;
+        this.tokenDigest = digest(token);
+    }
+
+    private static byte[] digest(String token) {
+        try {
+            return MessageDigest.getInstance("SHA-256").digest(token.getBytes(StandardCharsets.UTF_8));
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every JDK has SHA-256", e);
+        }
+    }
+
+    /** Returns the port on which it listens. */
+    public Future<Integer> listen(String host, int port) {
+        server = vertx.createHttpServer(new HttpServerOptions().setHttp2ClearTextEnabled(false)
+                .setIdleTimeout(IDLE_S).setMaxHeaderSize(8192));
+        server.connectionHandler(connection -> {
+            if (connections.size() >= MOST_CONNECTIONS) {
+                connection.close();
+                return;
+            }
+            connections.add(connection);
+            connection.closeHandler(none -> connections.remove(connection));
+        });
+        server.requestHandler(this::request);
+        return server.listen(port, host).map(listening -> {
+            LOG.info("the door is open at " + host + ":" + listening.actualPort());
+            return listening.actualPort();
+        });
+    }
+
+    public Future<Void> close() {
+        return server == null ? Future.succeededFuture() : server.close();
+    }
+
+    private void request(HttpServerRequest request) {
+        String shown = request.getHeader("Authorization");
+        // Digests are of one length, so the time of the comparison tells nothing of the token.
+        if (shown == null || !shown.startsWith("Bearer ")
+                || !MessageDigest.isEqual(tokenDigest, digest(shown.substring(7)))) {
+            answerAndClose(request, 401, error("no such token"));
+            return;
+        }
+        if (request.method() == HttpMethod.GET) {
+            get(request);
+            return;
+        }
+        Buffer body = Buffer.buffer();
+        request.handler(bytes -> {
+            if (body.length() + bytes.length() > MOST_BYTES) {
+                request.handler(null);
+                answerAndClose(request, 413, error("at most " + MOST_BYTES + " bytes are read"));
+            } else {
+                body.appendBuffer(bytes);
+            }
+        });
+        request.endHandler(none -> {
+            if (!request.response().ended()) {
+                post(request, body.getBytes());
+            }
+        });
+    }
+
+    private void get(HttpServerRequest request) {
+        switch (request.path()) {
+            case "/change/status" -> answer(request, 200, status());
+            case "/change/document" -> answer(request, 200,
+                    DocumentReader.write(desk.line().live().document()));
+            case "/change/history" -> {
+                ArrayNode versions = MAPPER.createArrayNode();
+                desk.line().history().forEach(outcome -> versions.add(outcome(outcome)));
+                answer(request, 200, bytes(versions));
+            }
+            default -> answer(request, 404, error("no such path"));
+        }
+    }
+
+    private byte[] status() {
+        VersionLine line = desk.line();
+        ObjectNode node = MAPPER.createObjectNode();
+        node.put("live", line.live().number()).put("watched", line.watched())
+                .put("confirmed", line.confirmed().number());
+        if (line.staged() != null) {
+            node.put("staged", line.staged().number());
+        }
+        return bytes(node);
+    }
+
+    private static ObjectNode outcome(Outcome outcome) {
+        Version version = outcome.version();
+        return MAPPER.createObjectNode().put("version", version.number()).put("madeFrom", version.madeFrom())
+                .put("by", version.by()).put("undoes", version.undoes())
+                .put("state", outcome.how().name().toLowerCase(Locale.ROOT)).put("why", outcome.why());
+    }
+
+    private void post(HttpServerRequest request, byte[] body) {
+        JsonNode node;
+        try {
+            node = MAPPER.readTree(body);
+        } catch (IOException | RuntimeException e) {
+            answer(request, 400, error("the body is no JSON"));
+            return;
+        }
+        if (node == null || !node.isObject()) {
+            answer(request, 400, error("the body is no JSON object"));
+            return;
+        }
+        String by = node.path("by").asText("");
+        switch (request.path()) {
+            case "/change/check" -> check(request, node.path("document"));
+            case "/change/propose" -> propose(request, node, by);
+            case "/change/confirm", "/change/undo" -> {
+                if (!node.path("version").canConvertToLong() || by.isEmpty()) {
+                    answer(request, 400, error("version (a number) and by were expected"));
+                    return;
+                }
+                long version = node.get("version").longValue();
+                boolean due = desk.line().watched() && desk.line().live().number() == version
+                        || request.path().endsWith("undo") && desk.line().staged() != null
+                        && desk.line().staged().number() == version;
+                if (!due) {
+                    answer(request, 409, error("version " + version + " is neither watched nor staged"));
+                } else if (request.path().endsWith("undo")) {
+                    desk.undo(version, by);
+                    answer(request, 200, status());
+                } else {
+                    desk.confirm(version, by);
+                    answer(request, 200, status());
+                }
+            }
+            default -> answer(request, 404, error("no such path"));
+        }
+    }
+
+    private void check(HttpServerRequest request, JsonNode document) {
+        DocumentReader.Read read = DocumentReader.read(bytes(document));
+        if (read instanceof DocumentReader.Read.Bad bad) {
+            answer(request, 422, faults(bad.faults(), null));
+            return;
+        }
+        Document good = ((DocumentReader.Read.Good) read).document();
+        List<Fault> faults = MeaningCheck.alone(good);
+        answer(request, faults.isEmpty() ? 200 : 422, faults.isEmpty()
+                ? bytes(difference(Difference.between(desk.line().live().document(), good))) : faults(faults, null));
+    }
+
+    private void propose(HttpServerRequest request, JsonNode node, String by) {
+        if (!node.path("id").isTextual() || by.isEmpty() || !node.path("madeFrom").canConvertToLong()) {
+            answer(request, 400, error("id, by, madeFrom and document were expected"));
+            return;
+        }
+        DocumentReader.Read read = DocumentReader.read(bytes(node.path("document")));
+        if (read instanceof DocumentReader.Read.Bad bad) {
+            answer(request, 422, faults(bad.faults(), null));
+            return;
+        }
+        List<LineAction> actions = desk.propose(node.get("id").asText(), by, node.get("madeFrom").longValue(),
+                ((DocumentReader.Read.Good) read).document());
+        for (LineAction action : actions) {
+            if (action instanceof LineAction.Accepted accepted) {
+                ObjectNode answer = difference(accepted.difference());
+                answer.put("version", accepted.version().number());
+                answer(request, 202, bytes(answer));
+            } else if (action instanceof LineAction.AlreadyThere there) {
+                answer(request, 200, bytes(MAPPER.createObjectNode().put("version", there.number())
+                        .put("already", true)));
+            } else if (action instanceof LineAction.TurnedDown down) {
+                answer(request, 409, faults(down.faults(), down.meanwhile()));
+            }
+        }
+    }
+
+    private static ObjectNode difference(Difference difference) {
+        ObjectNode node = MAPPER.createObjectNode();
+        node.put("risk", difference.risk().name().toLowerCase(Locale.ROOT));
+        ArrayNode words = node.putArray("changes");
+        difference.words().forEach(of -> words.addObject().put("path", of.path()).put("words", of.words())
+                .put("risk", of.risk().name().toLowerCase(Locale.ROOT)));
+        return node;
+    }
+
+    private static byte[] faults(List<Fault> faults, Difference meanwhile) {
+        ObjectNode node = MAPPER.createObjectNode();
+        ArrayNode all = node.putArray("faults");
+        faults.forEach(fault -> all.addObject().put("path", fault.path()).put("what", fault.what())
+                .put("mend", fault.mend()));
+        if (meanwhile != null) {
+            node.set("meanwhile", difference(meanwhile));
+        }
+        return bytes(node);
+    }
+
+    private static byte[] error(String what) {
+        return bytes(MAPPER.createObjectNode().put("error", what));
+    }
+
+    private static byte[] bytes(JsonNode node) {
+        try {
+            return MAPPER.writeValueAsBytes(node);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("a tree has no JSON form", e);
+        }
+    }
+
+    /** What is left of the request isn't read. */
+    private static void answerAndClose(HttpServerRequest request, int status, byte[] json) {
+        request.response().setStatusCode(status).putHeader("Content-Type", "application/json")
+                .putHeader("Connection", "close").end(Buffer.buffer(json))
+                .onComplete(written -> request.connection().close());
+    }
+
+    private static void answer(HttpServerRequest request, int status, byte[] json) {
+        if (!request.response().ended()) {
+            request.response().setStatusCode(status).putHeader("Content-Type", "application/json")
+                    .end(Buffer.buffer(json));
+        }
+    }
+}
--- /dev/null
+++ b/gatherer/src/main/java/sprucehold/node/Changes.java
@@ -0,0 +1,228 @@
+package sprucehold.node;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.IdentityHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.logging.Logger;
+import sprucehold.change.document.Document;
+import sprucehold.change.document.Running;
+import sprucehold.change.line.JournalEntry;
+import sprucehold.change.line.LineAction;
+import sprucehold.change.line.LineEvent;
+import sprucehold.change.line.VersionLine;
+import sprucehold.change.server.ServerWords;
+import sprucehold.change.watch.Before;
+import sprucehold.change.watch.ServiceWatch;
+import sprucehold.change.watch.Slot;
+import sprucehold.picker.Answer;
+import sprucehold.picker.Scan;
+import sprucehold.port.Action;
+import sprucehold.port.Deployment;
+import sprucehold.port.Event;
+import sprucehold.port.Gatherer;
+import sprucehold.port.Listing;
+
+/**
+ * Changes of one gatherer's facts: carries what happens to the line of versions, and what that wants to the gatherer. All
+ * of it belongs to the event loop.
+ */
+final class Changes {
+    private static final Logger LOG = Logger.getLogger(Changes.class.getName());
+    /** Service is counted in stretches of a quarter of a second: a harm shows within a few of them. */
+    static final long SLOT_MS = 250;
+
+    private final Deployment first;
+    private final VersionLine line;
+    private final ServerWords words = new ServerWords();
+    private final Before before = new Before();
+    private final Slot.Builder slot = new Slot.Builder();
+    private final Map<Scan, Taken> open = new IdentityHashMap<>();
+    private final Journal journal;
+    private final double watchMs;
+    private final long leastScans;
+    private final Apply apply;
+    private ServiceWatch watch;
+    private long watched;
+    /** News for the module that go along with the facts that come next. */
+    private List<Listing> news = List.of();
+
+    /** Puts facts in force between two moments of the module. */
+    interface Apply {
+        void apply(Deployment facts);
+    }
+
+    /** Writes an entry down before its step is taken. */
+    interface Journal {
+        /** Where no folder lasts. */
+        Journal NONE = entry -> { };
+
+        void write(JournalEntry entry);
+    }
+
+    private record Taken(double atMs, Document.Type type, String customer) {
+    }
+
+    /**
+     * @param start the document that the start brought
+     * @param watchMs how long service has to hold before a version is confirmed
+     * @param leastScans and how many scans have to be seen
+     */
+    Changes(Document start, Deployment first, Journal journal, double watchMs, long leastScans, Apply apply) {
+        this.first = first;
+        this.line = new VersionLine(start);
+        this.journal = journal;
+        this.watchMs = watchMs;
+        this.leastScans = leastScans;
+        this.apply = apply;
+    }
+
+    /** The module behind the operator's word on shard servers. */
+    Gatherer.Factory behindWords(Gatherer.Factory factory) {
+        return (seed, facts) -> {
+            Gatherer module = factory.start(seed, facts);
+            return (nowMs, events) -> module.decide(nowMs, joined(events));
+        };
+    }
+
+    private List<Event> joined(List<Event> events) {
+        if (events.stream().noneMatch(event -> event instanceof Event.ListReceived
+                || event instanceof Event.FactsChanged)) {
+            return events;
+        }
+        var joined = new ArrayList<Event>(events.size() + 1);
+        for (Event event : events) {
+            joined.add(event instanceof Event.ListReceived list ? words.told(list) : event);
+            if (event instanceof Event.FactsChanged && !news.isEmpty()) {
+                joined.add(new Event.ListReceived(false, news));
+                news = List.of();
+            }
+        }
+        return joined;
+    }
+
+    // ---- What happens ----
+
+    void started(double nowMs, List<JournalEntry> entries) {
+        if (!entries.isEmpty()) {
+            carryOut(nowMs, line.on(new LineEvent.Started(entries)));
+        }
+    }
+
+    List<LineAction> propose(double nowMs, String id, String by, long madeFrom, Document document, int held) {
+        return carryOut(nowMs, line.on(new LineEvent.Proposed(id, by, madeFrom, document, running(held))));
+    }
+
+    void confirm(double nowMs, long version, String by) {
+        carryOut(nowMs, line.on(new LineEvent.ConfirmAsked(version, by)));
+    }
+
+    void undo(double nowMs, long version, String by) {
+        carryOut(nowMs, line.on(new LineEvent.UndoAsked(version, by)));
+    }
+
+    /** Between two moments of the module. */
+    void moment(double nowMs) {
+        if (line.staged() != null) {
+            carryOut(nowMs, line.on(new LineEvent.BetweenMoments()));
+        }
+    }
+
+    void ending(double nowMs) {
+        carryOut(nowMs, line.on(new LineEvent.Ending()));
+    }
+
+    void taken(double nowMs, Scan scan) {
+        line.live().document().type(scan.tableType()).ifPresent(type ->
+                open.put(scan, new Taken(nowMs, type, line.live().document().customer(scan.customer())
+                        .map(customer -> customer.name()).orElse(null))));
+    }
+
+    void answered(double nowMs, Scan scan, Answer answer) {
+        Taken taken = open.remove(scan);
+        if (taken != null) {
+            boolean inTime = answer instanceof Answer.Completed
+                    && nowMs - taken.atMs <= taken.type.facts().targetMs();
+            slot.add(taken.type.name(), taken.customer, taken.type.facts().benefit(), inTime);
+        }
+    }
+
+    /** Who left before its target time tells nothing of service; who left after it was failed. */
+    void left(double nowMs, Scan scan) {
+        Taken taken = open.remove(scan);
+        if (taken != null && nowMs - taken.atMs > taken.type.facts().targetMs()) {
+            slot.add(taken.type.name(), taken.customer, taken.type.facts().benefit(), false);
+        }
+    }
+
+    /** The end of a stretch of time. */
+    void slotEnds(double nowMs) {
+        Slot ended = slot.take(nowMs);
+        if (watch == null) {
+            before.add(ended);
+            return;
+        }
+        ServiceWatch.Word word = watch.add(ended);
+        if (word instanceof ServiceWatch.Word.Fell fell) {
+            carryOut(nowMs, line.on(new LineEvent.Judged(watched, true, fell.grounds())));
+        } else if (word instanceof ServiceWatch.Word.Held held) {
+            carryOut(nowMs, line.on(new LineEvent.Judged(watched, false, held.grounds())));
+        }
+    }
+
+    // ---- What is to be done ----
+
+    private List<LineAction> carryOut(double nowMs, List<LineAction> actions) {
+        for (LineAction action : actions) {
+            if (action instanceof LineAction.Write write) {
+                journal.write(write.entry());
+            } else if (action instanceof LineAction.Apply version) {
+                Document document = version.version().document();
+                news = words.takenOut(document.serversOut(), nowMs);
+                apply.apply(document.onto(first));
+            } else if (action instanceof LineAction.Watch of) {
+                watched = of.number();
+                watch = new ServiceWatch(before, nowMs, watchMs, leastScans);
+            } else if (action instanceof LineAction.StopWatch) {
+                watch = null;
+            } else if (action instanceof LineAction.Tell tell) {
+                LOG.info(tell.line());
+            }
+        }
+        return actions;
+    }
+
+    private Running running(int held) {
+        Map<String, Integer> byType = new HashMap<>();
+        Map<String, Integer> byCustomer = new HashMap<>();
+        open.values().forEach(taken -> {
+            byType.merge(taken.type.name(), 1, Integer::sum);
+            if (taken.customer != null) {
+                byCustomer.merge(taken.customer, 1, Integer::sum);
+            }
+        });
+        // A segment's holders are those of some cells in a row, so one segment for each cell tells of all.
+        Map<Integer, Set<String>> byCell = words.byCell();
+        Map<Integer, Set<String>> holders = new HashMap<>();
+        for (int cell = 0; cell < first.layout().cells(); cell++) {
+            Set<String> of = new HashSet<>();
+            for (int j = 0; j < first.layout().reach(); j++) {
+                of.addAll(byCell.getOrDefault((cell + j) % first.layout().cells(), Set.of()));
+            }
+            holders.put(cell, of);
+        }
+        return new Running(byType, byCustomer, held, holders);
+    }
+
+    VersionLine line() {
+        return line;
+    }
+
+    /** Whether a table type is served now. */
+    boolean isTableType(String name) {
+        return line.live().document().type(name).isPresent();
+    }
+}
--- a/gatherer/src/main/java/sprucehold/node/Node.java
+++ b/gatherer/src/main/java/sprucehold/node/Node.java
@@ -3,24 +3,35 @@
 import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Queue;
 import java.util.Set;
+import java.util.TreeSet;
 import java.util.function.Supplier;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import java.util.stream.Collectors;
+import sprucehold.change.document.Document;
+import sprucehold.change.journal.JournalFile;
+import sprucehold.change.line.JournalEntry;
+import sprucehold.change.line.LineAction;
+import sprucehold.change.line.VersionLine;
 import sprucehold.clients.ClientServer;
 import sprucehold.clients.Desk;
 import sprucehold.discovery.Watch;
+import sprucehold.door.ChangeDesk;
+import sprucehold.door.Door;
+import sprucehold.door.DoorPlan;
 import sprucehold.picker.Answer;
 import sprucehold.picker.Orders;
 import sprucehold.picker.Picker;
 import sprucehold.picker.Report;
 import sprucehold.picker.Scan;
+import sprucehold.port.Deployment;
 import sprucehold.port.Gatherer;
 import sprucehold.port.TableType;
 import sprucehold.shards.ShardServers;
@@ -59,13 +70,37 @@
     private double timerAt = Double.POSITIVE_INFINITY;
     private long scansTaken;
 
+    /** The door for changes, and what goes through it; null where there is none. */
+    private Changes changes;
+    private Door door;
+    private JournalFile journal;
+    private long slots = -1;
+    private DoorPlan plan;
+    private int doorPort;
+
+    /** @param plan the door through which it is changed */
+    Node(Vertx vertx, Seat seat, Gatherer.Factory factory, DoorPlan plan) throws IOException {
+        this(vertx, seat, factory, new ChangesOf(seat, plan));
+    }
+
     Node(Vertx vertx, Seat seat, Gatherer.Factory factory) {
+        this(vertx, seat, factory, (ChangesOf) null);
+    }
+
+    private Node(Vertx vertx, Seat seat, Gatherer.Factory factory, ChangesOf of) {
         this.vertx = vertx;
         this.context = vertx.getOrCreateContext();
         this.seat = seat;
         var deployment = seat.facts().deployment();
         this.tableTypes = deployment.tableTypes().stream().map(TableType::name).collect(Collectors.toSet());
-        this.picker = new Picker(factory.start(seat.seed(), deployment), deployment);
+        Gatherer.Factory behind = factory;
+        if (of != null) {
+            plan = of.plan;
+            journal = of.journal;
+            changes = of.changes(this::applied, this::written);
+            behind = changes.behindWords(factory);
+        }
+        this.picker = new Picker(behind.start(seat.seed(), deployment), deployment);
         this.shards = new ShardServers(vertx, seat.facts().connections(), deployment.layout().callParts(),
                 seat.facts().loadByProbe(), clock::now, this::report);
         this.watch = new Watch(vertx, seat.discovery().host(), seat.discovery().port(), deployment.layout().cells(),
@@ -84,7 +119,7 @@
         } else {
             watch.start(seat.known() == null ? -1 : seat.known().index());
         }
-        return clients.listen(seat.listen().socket()).map(server -> {
+        return openDoor().compose(opened -> clients.listen(seat.listen().socket())).map(server -> {
             LOG.info("listening at " + seat.listen());
             return server.actualPort();
         });
@@ -97,7 +132,7 @@
 
     @Override
     public boolean isTableType(String name) {
-        return tableTypes.contains(name);
+        return changes == null ? tableTypes.contains(name) : changes.isTableType(name);
     }
 
     @Override
@@ -115,6 +150,9 @@
         // An answer has to be out before the process may be killed.
         double most = leave == null ? Double.POSITIVE_INFINITY : leave.timeLeftMs(clock.now() - leavesAt);
         coming.add(scan.id());
+        if (changes != null) {
+            changes.taken(clock.now(), scan);
+        }
         soon(() -> {
             // Whoever left meanwhile gets no work done.
             return coming.remove(scan.id()) ? picker.pick(clock.now(), scan, most)
@@ -124,6 +162,9 @@
 
     @Override
     public void left(Scan scan) {
+        if (changes != null) {
+            changes.left(clock.now(), scan);
+        }
         if (!coming.remove(scan.id())) {
             report(new Report.ClientLeft(scan));
         }
@@ -192,7 +233,12 @@
     private void carryOut(Orders orders) {
         shards.callOff(orders.callOff());
         shards.send(orders.send());
-        orders.replies().forEach(reply -> clients.answer(reply.scan(), reply.answer()));
+        orders.replies().forEach(reply -> {
+            if (changes != null) {
+                changes.answered(clock.now(), reply.scan(), reply.answer());
+            }
+            clients.answer(reply.scan(), reply.answer());
+        });
         shards.probe(orders.probe());
         orders.notes().forEach(LOG::info);
         if (orders.askList()) {
@@ -215,6 +261,103 @@
         }
     }
 
+    // ---- Changes ----
+
+    /** The line of versions of a gatherer, from its seat and its door's plan. */
+    private static final class ChangesOf {
+        final Seat seat;
+        final DoorPlan plan;
+        final JournalFile journal;
+
+        ChangesOf(Seat seat, DoorPlan plan) throws IOException {
+            this.seat = seat;
+            this.plan = plan;
+            this.journal = plan.journal() == null ? null : JournalFile.open(plan.journal());
+            if (journal != null && journal.cutOff() != null) {
+                LOG.warning(journal.cutOff());
+            }
+        }
+
+        Changes changes(Changes.Apply apply, Changes.Journal written) {
+            var deployment = seat.facts().deployment();
+            var types = new ArrayList<Document.Type>();
+            for (int i = 0; i < deployment.tableTypes().size(); i++) {
+                types.add(new Document.Type(deployment.tableTypes().get(i), seat.facts().timeoutsMs().get(i)));
+            }
+            var document = new Document(types, deployment.customers(), deployment.limits(),
+                    deployment.dispatchBudget(), deployment.coldRule(), new TreeSet<>(), "", "", "INFO");
+            return new Changes(document, deployment, journal == null ? Changes.Journal.NONE : written,
+                    plan.watchMs(), plan.leastScans(), apply);
+        }
+    }
+
+    private void applied(Deployment facts) {
+        soon(() -> picker.change(clock.now(), facts));
+    }
+
+    private void written(JournalEntry entry) {
+        try {
+            // The only wait on the event loop: a change is rare, and must be on the disk before it is in force.
+            journal.write(entry);
+        } catch (IOException e) {
+            LOG.warning("the journal of versions can't be written, and a restart will not know of this: " + e);
+        }
+    }
+
+    private Future<Integer> openDoor() {
+        if (changes == null) {
+            return Future.succeededFuture(0);
+        }
+        changes.started(clock.now(), journal == null ? List.of() : journal.entries());
+        slots = vertx.setPeriodic(Changes.SLOT_MS, id -> changes.slotEnds(clock.now()));
+        door = new Door(vertx, plan.token(), new ChangeDesk() {
+            @Override
+            public VersionLine line() {
+                return changes.line();
+            }
+
+            @Override
+            public List<LineAction> propose(String id, String by, long madeFrom, Document document) {
+                List<LineAction> answer = changes.propose(clock.now(), id, by, madeFrom, document, picker.held());
+                // The door is called between two moments of the module.
+                context.runOnContext(none -> changes.moment(clock.now()));
+                return answer;
+            }
+
+            @Override
+            public void confirm(long version, String by) {
+                changes.confirm(clock.now(), version, by);
+            }
+
+            @Override
+            public void undo(long version, String by) {
+                changes.undo(clock.now(), version, by);
+            }
+        });
+        return door.listen(plan.host(), plan.port()).onSuccess(port -> doorPort = port);
+    }
+
+    /** The port of the door, 0 where there is none. */
+    int doorPort() {
+        return doorPort;
+    }
+
+    private Future<Void> closeDoor() {
+        if (door == null) {
+            return Future.succeededFuture();
+        }
+        return door.close().eventually(() -> {
+            try {
+                if (journal != null) {
+                    journal.close();
+                }
+            } catch (IOException e) {
+                LOG.log(Level.FINE, "the journal of versions", e);
+            }
+            return Future.succeededFuture();
+        });
+    }
+
     /** Follows the list at the address that the seat names now; nothing else of it is taken while serving. */
     void reseat(Seat now) {
         watch.move(now.discovery().host(), now.discovery().port());
@@ -227,6 +370,10 @@
     Future<Void> end(Leave how) {
         LOG.info("draining: " + picker.openScans() + " scans open, " + clients.connections() + " client connections");
         leave = how;
+        if (changes != null) {
+            vertx.cancelTimer(slots);
+            changes.ending(clock.now());
+        }
         leavesAt = clock.now();
         return vertx.timer(how.serveMs()).compose(served -> {
             clients.drain();
@@ -237,7 +384,7 @@
             closed = true;
             clients.closeIdle();
             return answered();
-        }).compose(done -> clients.close()).map(closed -> {
+        }).compose(done -> clients.close()).compose(done -> closeDoor()).map(closed -> {
             watch.stop();
             LOG.info("end: " + scansTaken + " scans taken, " + picker.openScans() + " left open");
             return null;
--- a/gatherer/src/main/java/sprucehold/node/Service.java
+++ b/gatherer/src/main/java/sprucehold/node/Service.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
+import java.io.IOException;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
@@ -9,6 +10,7 @@
 import java.util.concurrent.TimeoutException;
 import java.util.logging.Level;
 import java.util.logging.Logger;
+import sprucehold.door.DoorPlan;
 import sprucehold.port.Gatherer;
 import sprucehold.standin.StandIns;
 
@@ -23,19 +25,20 @@
      *
      * @param rehearsed starts the module that scans of its own warm up
      * @param factory starts the module that serves
+     * @param door the door through which it is changed, or null
      * @param reread reads the configuration anew when SIGHUP asks for it
      * @param ended is called once all is answered, on the thread that ends the process
      */
-    public static void start(Seat seat, Gatherer.Factory rehearsed, Gatherer.Factory factory, Callable<Seat> reread,
-            Runnable ended) throws StartFailedException {
+    public static void start(Seat seat, Gatherer.Factory rehearsed, Gatherer.Factory factory, DoorPlan door,
+            Callable<Seat> reread, Runnable ended) throws StartFailedException {
         WarmUp.run(seat, rehearsed);
         Vertx vertx = vertx();
         var started = new CompletableFuture<Node>();
         vertx.runOnContext(none -> {
             try {
-                var node = new Node(vertx, seat, factory);
+                var node = door == null ? new Node(vertx, seat, factory) : new Node(vertx, seat, factory, door);
                 node.start().onComplete(done -> started.complete(node), started::completeExceptionally);
-            } catch (RuntimeException e) {
+            } catch (IOException | RuntimeException e) {
                 started.completeExceptionally(e);
             }
         });
--- /dev/null
+++ b/gatherer/src/test/java/sprucehold/node/ChangesTest.java
@@ -0,0 +1,244 @@
+package sprucehold.node;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpMethod;
+import java.io.IOException;
+import java.net.Socket;
+import java.net.URI;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import sprucehold.brain.Brain;
+import sprucehold.door.DoorPlan;
+import sprucehold.standin.StandIns;
+
+/** A gatherer among stand-ins, under load, changed through its door. */
+public class ChangesTest {
+    private static final String TOKEN = "a token of some letters";
+    private static final java.net.http.HttpClient CALLS = java.net.http.HttpClient.newBuilder()
+            .version(java.net.http.HttpClient.Version.HTTP_1_1).build();
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final String SEAT = """
+            {"name":"n","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"5","known":{"index":1,"snapshot":true,
+            "endpoints":[{"name":"s-0","address":"127.0.0.1:1","group":0,"status":"active"},
+            {"name":"s-1","address":"127.0.0.1:2","group":0,"status":"active"}]},
+            "settings":{"balancers":1,"quantumMs":5,"classes":[{"name":"offers","semantics":"retryable","aimMs":1000,
+            "giveUpMs":3000,"worth":1}],"tenants":[{"name":"acme","allowancePerS":1000}],
+            "familyInfo":{"ranges":4,"sets":1,"width":1},"limits":{"dialTimeoutMs":2000,"idleCloseMs":15000,
+            "streamsPerConn":64,"maxOpen":500,"sendCap":3,"cancel":true,"secondCopies":true},
+            "safety":{"coldFrom":0.2,"coldMs":15000,"fallMultiple":4,"overloadForMs":1000}}}""";
+
+    private Vertx vertx;
+    private Path folder;
+    private Node node;
+    private int port;
+    private long load;
+    private final AtomicInteger asked = new AtomicInteger();
+    private final AtomicInteger answered = new AtomicInteger();
+
+    @BeforeMethod
+    public void start() throws Exception {
+        vertx = Service.vertx();
+        folder = Files.createTempDirectory("changes");
+        asked.set(0);
+        answered.set(0);
+        node = serve();
+    }
+
+    private Node serve() throws Exception {
+        Seat seat = Seat.read(Files.writeString(folder.resolve("seat.json"), SEAT), null, null, null);
+        var started = new CompletableFuture<Node>();
+        vertx.runOnContext(none -> StandIns.start(vertx, "127.0.0.1", 0, seat.known().servers(), true)
+                .compose(discovery -> {
+                    var moved = new Seat("n", seat.listen(), new Seat.Address("127.0.0.1", discovery), 5,
+                            seat.sockets(), null, seat.facts());
+                    try {
+                        var serving = new Node(vertx, moved, Brain::new, new DoorPlan("127.0.0.1", 0, TOKEN,
+                                folder.resolve("journal"), 1500, 50));
+                        return serving.start().map(listening -> {
+                            port = listening;
+                            return serving;
+                        });
+                    } catch (IOException e) {
+                        throw new IllegalStateException(e);
+                    }
+                }).onComplete(started::complete, started::completeExceptionally));
+        Node serving = started.get(10, TimeUnit.SECONDS);
+        while (!serving.ready()) {
+            Thread.onSpinWait();
+        }
+        return serving;
+    }
+
+    @AfterMethod
+    public void stop() throws Exception {
+        vertx.cancelTimer(load);
+        var ended = new CompletableFuture<Void>();
+        vertx.runOnContext(none -> node.end(Leave.NOW).onComplete(ended::complete, ended::completeExceptionally));
+        ended.get(10, TimeUnit.SECONDS);
+        assertEquals(answered.get(), asked.get(), "each scan has one answer");
+        vertx.close().toCompletionStage().toCompletableFuture().get(5, TimeUnit.SECONDS);
+    }
+
+    private void load() {
+        HttpClient client = vertx.createHttpClient();
+        load = vertx.setPeriodic(5, id -> {
+            int number = asked.incrementAndGet();
+            String body = "{\"buckets\":[{\"bucket\":" + number % 4 + ",\"part\":1.0}],\"body\":\"c4\"}";
+            client.request(HttpMethod.POST, port, "127.0.0.1", "/offers")
+                    .compose(request -> request.putHeader("X-Request-Id", "id-" + number)
+                            .putHeader("X-Class", "offers").putHeader("X-Tenant", "acme")
+                            .putHeader("X-Deadline-Ms", "2500").send(Buffer.buffer(body)))
+                    .compose(response -> response.body())
+                    .onSuccess(bytes -> answered.incrementAndGet());
+        });
+    }
+
+    private HttpResponse<String> call(String method, String path, String token, String body) throws Exception {
+        return CALLS.send(HttpRequest.newBuilder(
+                URI.create("http://127.0.0.1:" + node.doorPort() + path)).header("Authorization", "Bearer " + token)
+                .method(method, HttpRequest.BodyPublishers.ofString(body)).build(),
+                HttpResponse.BodyHandlers.ofString());
+    }
+
+    private JsonNode get(String path) throws Exception {
+        return MAPPER.readTree(call("GET", path, TOKEN, "").body());
+    }
+
+    private ObjectNode document() throws Exception {
+        return (ObjectNode) get("/change/document");
+    }
+
+    private HttpResponse<String> propose(String id, long from, JsonNode document) throws Exception {
+        return call("POST", "/change/propose", TOKEN, MAPPER.createObjectNode().put("id", id).put("by", "operator")
+                .put("madeFrom", from).set("document", document).toString());
+    }
+
+    private JsonNode await(String field, long value) throws Exception {
+        long until = System.nanoTime() + 20_000_000_000L;
+        while (true) {
+            JsonNode status = get("/change/status");
+            if (status.path(field).asLong() == value && !status.get("watched").asBoolean()) {
+                return status;
+            }
+            assertTrue(System.nanoTime() < until, status.toString());
+            Thread.onSpinWait();
+        }
+    }
+
+    @Test
+    public void harmfulChangeUnderLoadIsUndoneWithinFiveSeconds() throws Exception {
+        load();
+        while (answered.get() < 400) {
+            Thread.onSpinWait();
+        }
+        ObjectNode document = document();
+        // No answer can come so soon: all of them count as late from now on.
+        ((ObjectNode) document.get("tableTypes").get(0)).put("targetMs", 0.001);
+        HttpResponse<String> taken = propose("p1", 1, document);
+        assertEquals(taken.statusCode(), 202, taken.body());
+        long live = System.nanoTime();
+        await("live", 3);
+        assertTrue(System.nanoTime() - live < 5_000_000_000L, (System.nanoTime() - live) / 1_000_000 + " ms");
+        JsonNode history = get("/change/history");
+        assertEquals(history.get(1).get("state").asText(), "undone");
+        assertTrue(history.get(1).get("why").asText().startsWith("service fell"), history.toString());
+        assertEquals(document().get("tableTypes").get(0).get("targetMs").asDouble(), 1000.0);
+    }
+
+    @Test
+    public void harmlessChangeIsConfirmedAndOutlivesARestart() throws Exception {
+        load();
+        while (answered.get() < 400) {
+            Thread.onSpinWait();
+        }
+        ObjectNode document = document();
+        ((ObjectNode) document.get("limits")).put("maxOpen", 450);
+        ((ArrayNode) document.get("serversOut")).add("s-1");
+        assertEquals(propose("p1", 1, document).statusCode(), 202);
+        await("confirmed", 2);
+        assertEquals(propose("p1", 1, document).statusCode(), 200, "the same proposal again");
+        vertx.cancelTimer(load);
+        var ended = new CompletableFuture<Void>();
+        vertx.runOnContext(none -> node.end(Leave.NOW).onComplete(ended::complete, ended::completeExceptionally));
+        ended.get(10, TimeUnit.SECONDS);
+        node = serve();
+        assertEquals(document().get("limits").get("maxOpen").asInt(), 450);
+        assertEquals(get("/change/status").get("live").asInt(), 2);
+    }
+
+    @DataProvider
+    Object[][] refused() {
+        return new Object[][] {
+            // method, path, token, body, status
+            {"GET", "/change/status", "wrong", "", 401}, {"POST", "/change/propose", "", "{}", 401},
+            {"GET", "/else", TOKEN, "", 404}, {"POST", "/change/propose", TOKEN, "nothing", 400},
+            {"POST", "/change/propose", TOKEN, "{}", 400}, {"POST", "/change/confirm", TOKEN, "{\"version\":7}", 400},
+            {"POST", "/change/undo", TOKEN, "{\"version\":1,\"by\":\"o\"}", 409},
+            {"POST", "/change/check", TOKEN, "{\"document\":{\"limits\":{}}}", 422},
+            {"POST", "/change/propose", TOKEN, "[".repeat(5000), 400},
+            {"POST", "/change/propose", TOKEN, "x".repeat(2 << 20), 413},
+        };
+    }
+
+    @Test(dataProvider = "refused")
+    public void whatCantBeTakenIsRefusedAndChangesNothing(String method, String path, String token, String body,
+            int status) throws Exception {
+        try {
+            HttpResponse<String> response = call(method, path, token, body);
+            assertEquals(response.statusCode(), status, response.body());
+            assertTrue(MAPPER.readTree(response.body()).isObject(), response.body());
+        } catch (IOException e) {
+            // Closed while the rest of it was still on its way.
+            assertTrue(status == 413 || status == 401, e.toString());
+        }
+        assertEquals(get("/change/status").get("live").asInt(), 1);
+    }
+
+    @Test
+    public void doorThatIsFloodedServesOnAndClientsAreServed() throws Exception {
+        var sockets = new ArrayList<Socket>();
+        for (int i = 0; i < 60; i++) {
+            sockets.add(new Socket("127.0.0.1", node.doorPort()));
+        }
+        load();
+        while (answered.get() < 50) {
+            Thread.onSpinWait();
+        }
+        for (Socket socket : sockets) {
+            socket.close();
+        }
+        assertEquals(get("/change/status").get("live").asInt(), 1);
+    }
+
+    @Test
+    public void secondOperatorIsToldWhatChangedMeanwhile() throws Exception {
+        ObjectNode one = document();
+        ObjectNode two = document();
+        ((ObjectNode) one.get("limits")).put("maxOpen", 450);
+        ((ObjectNode) two.get("limits")).put("maxOpen", 400);
+        assertEquals(propose("p1", 1, one).statusCode(), 202);
+        HttpResponse<String> second = propose("p2", 1, two);
+        assertEquals(second.statusCode(), 409);
+        assertTrue(MAPPER.readTree(second.body()).get("meanwhile").toString().contains("from 500 to 450"),
+                second.body());
+    }
+}
--- a/trace/src/main/java/sprucehold/trace/format/BlockDecoder.java
+++ b/trace/src/main/java/sprucehold/trace/format/BlockDecoder.java
@@ -97,7 +97,7 @@
             return;
         }
         if (kind < RecordKind.SCAN_TAKEN || kind > RecordKind.NOTE
-                || kind > RecordKind.WOKEN && kind < RecordKind.DISPATCH) {
+                || kind > RecordKind.FACTS_CHANGED && kind < RecordKind.DISPATCH) {
             return;
         }
         if (open == null) {
@@ -115,10 +115,15 @@
                 var facts = sources.get(open.source()).facts();
                 String id = name();
                 long number = in.readUInt64();
-                TableType type = facts.tableTypes().get(in.readUInt32());
+                int type = in.readUInt32();
                 int customer = in.readUInt32();
-                Customer of = customer == 0 ? null : facts.customers().get(customer - 1);
-                yield new Event.ScanTaken(id, number, type, of, number());
+                double left = number();
+                TableType of = type == facts.tableTypes().size()
+                        ? HeadJson.read(in.readStringRequireUtf8(), TableType.class) : facts.tableTypes().get(type);
+                Customer by = customer == 0 ? null : customer == facts.customers().size() + 1
+                        ? HeadJson.read(in.readStringRequireUtf8(), Customer.class)
+                        : facts.customers().get(customer - 1);
+                yield new Event.ScanTaken(id, number, of, by, left);
             }
             case RecordKind.PART_TAKEN -> new Event.PartTaken(name(), in.readUInt64(), in.readSInt32(), number());
             case RecordKind.DISPATCH_ENDED -> new Event.DispatchEnded(name(), in.readUInt32(),
@@ -137,6 +142,7 @@
             case RecordKind.LIST_UNAVAILABLE -> new Event.ListUnavailable();
             case RecordKind.PROBE_ENDED ->
                     new Event.ProbeEnded(name(), ENDINGS[in.readUInt32()], number(), load());
+            case RecordKind.FACTS_CHANGED -> new Event.FactsChanged(HeadJson.facts(in.readStringRequireUtf8()));
             default -> new Event.Woken();
         };
     }
--- a/trace/src/main/java/sprucehold/trace/format/BlockEncoder.java
+++ b/trace/src/main/java/sprucehold/trace/format/BlockEncoder.java
@@ -7,12 +7,11 @@
 import java.util.List;
 import java.util.Map;
 import sprucehold.port.Action;
-import sprucehold.port.Customer;
+import sprucehold.port.Deployment;
 import sprucehold.port.Event;
 import sprucehold.port.Listing;
 import sprucehold.port.LoadReport;
 import sprucehold.port.PassedOver;
-import sprucehold.port.TableType;
 import sprucehold.trace.event.Entry;
 import sprucehold.trace.event.Gap;
 import sprucehold.trace.event.Item;
@@ -21,6 +20,7 @@
 
 /** Writes entries into one block after the other; each block stands by itself. */
 final class BlockEncoder {
+    private final List<Source> sources;
     private final List<Map<String, Integer>> types;
     private final List<Map<String, Integer>> customers;
     private final ByteArrayOutputStream block = new ByteArrayOutputStream(1 << 17);
@@ -32,6 +32,7 @@
     private long timeBefore;
 
     BlockEncoder(List<Source> sources) {
+        this.sources = sources;
         types = sources.stream().map(source -> {
             var index = new HashMap<String, Integer>();
             source.facts().tableTypes().forEach(type -> index.put(type.name(), index.size()));
@@ -99,9 +100,19 @@
         if (event instanceof Event.ScanTaken taken) {
             name(taken.id());
             to.writeUInt64NoTag(taken.number());
-            to.writeUInt32NoTag(index(types.get(source), taken.type()));
-            to.writeUInt32NoTag(index(customers.get(source), taken.customer()));
+            Deployment facts = sources.get(source).facts();
+            int type = index(types.get(source), facts.tableTypes(), taken.type(), taken.type().name());
+            int customer = taken.customer() == null ? -1
+                    : index(customers.get(source), facts.customers(), taken.customer(), taken.customer().name());
+            to.writeUInt32NoTag(type);
+            to.writeUInt32NoTag(customer + 1);
             number(taken.timeLeftMs());
+            if (type == facts.tableTypes().size()) {
+                to.writeStringNoTag(HeadJson.text(taken.type()));
+            }
+            if (customer == facts.customers().size()) {
+                to.writeStringNoTag(HeadJson.text(taken.customer()));
+            }
             return RecordKind.SCAN_TAKEN;
         } else if (event instanceof Event.PartTaken taken) {
             name(taken.id());
@@ -139,6 +150,10 @@
             load(ended.load());
             return RecordKind.PROBE_ENDED;
         }
+        if (event instanceof Event.FactsChanged changed) {
+            to.writeStringNoTag(HeadJson.text(changed.facts()));
+            return RecordKind.FACTS_CHANGED;
+        }
         return RecordKind.WOKEN;
     }
 
@@ -188,16 +203,10 @@
         return RecordKind.NOTE;
     }
 
-    private static int index(Map<String, Integer> index, TableType type) {
-        Integer at = index.get(type.name());
-        if (at == null) {
-            throw new IllegalArgumentException("table type " + type.name() + " is not in the facts");
-        }
-        return at;
-    }
-
-    private static int index(Map<String, Integer> index, Customer customer) {
-        return customer == null ? 0 : index.getOrDefault(customer.name(), -1) + 1;
+    /** The index of a fact among the head's; one beyond the last where it came by a change. */
+    private static <F> int index(Map<String, Integer> index, List<F> facts, F fact, String name) {
+        Integer at = index.get(name);
+        return at != null && facts.get(at).equals(fact) ? at : facts.size();
     }
 
     private void load(LoadReport load) throws IOException {
--- a/trace/src/main/java/sprucehold/trace/format/HeadJson.java
+++ b/trace/src/main/java/sprucehold/trace/format/HeadJson.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import java.io.IOException;
+import sprucehold.port.Deployment;
 import sprucehold.trace.event.Head;
 
 /** The head as JSON: fields are the records' own; unknown ones are skipped. */
@@ -22,14 +23,36 @@
     static Head read(byte[] json) throws IOException {
         Head head = MAPPER.readValue(json, Head.class);
         for (var source : head.sources()) {
-            if (source == null || source.gatherer() == null || source.facts() == null || source.clock() == null
-                    || source.facts().tableTypes() == null || source.facts().customers() == null
-                    || source.facts().layout() == null || source.facts().limits() == null
-                    || source.facts().coldRule() == null || source.facts().dispatchBudget() == null
-                    || source.facts().listAccess() == null) {
+            if (source == null || source.gatherer() == null || source.clock() == null || !whole(source.facts())) {
                 throw new IOException("a source without its facts");
             }
         }
         return head;
     }
+
+    private static boolean whole(Deployment facts) {
+        return facts != null && facts.tableTypes() != null && facts.customers() != null && facts.layout() != null
+                && facts.limits() != null && facts.coldRule() != null && facts.dispatchBudget() != null
+                && facts.listAccess() != null;
+    }
+
+    static String text(Object fact) throws IOException {
+        return MAPPER.writeValueAsString(fact);
+    }
+
+    static <F> F read(String json, Class<F> kind) throws IOException {
+        F fact = MAPPER.readValue(json, kind);
+        if (fact == null) {
+            throw new IOException("no " + kind.getSimpleName());
+        }
+        return fact;
+    }
+
+    static Deployment facts(String json) throws IOException {
+        Deployment facts = read(json, Deployment.class);
+        if (!whole(facts)) {
+            throw new IOException("facts that aren't whole");
+        }
+        return facts;
+    }
 }
--- a/trace/src/main/java/sprucehold/trace/format/RecordKind.java
+++ b/trace/src/main/java/sprucehold/trace/format/RecordKind.java
@@ -12,6 +12,7 @@
     static final int LIST_UNAVAILABLE = 15;
     static final int PROBE_ENDED = 16;
     static final int WOKEN = 17;
+    static final int FACTS_CHANGED = 18;
     static final int DISPATCH = 30;
     static final int CANCEL = 31;
     static final int ANSWER = 32;
--- a/trace/src/main/java/sprucehold/trace/format/package-info.java
+++ b/trace/src/main/java/sprucehold/trace/format/package-info.java
@@ -46,7 +46,9 @@
  *                                                              ; time by its f64 bits; flags 1 failed, 2 some left out
  *   2  gap             source:v seq:z time:z moments:v to:f64
  *   items of the moment before; where some are left out, each body begins with its index:v
- *   10 scan taken      scan:name number:v type:v customer:v left:num   ; indices into facts, customer + 1, 0 for none
+ *   10 scan taken      scan:name number:v type:v customer:v left:num *1type *1customer
+ *                      ; indices into the head's facts, customer + 1, 0 for none; one beyond the last stands for
+ *                      ; one that came by a change, told as str in JSON at the record's end
  *   11 part taken      part:name scan-number:v segment:z weight:num
  *   12 dispatch ended  part:name number:v ending:v took:num load
  *   13 client left     scan:name
@@ -54,6 +56,7 @@
  *   15 list unavailable
  *   16 probe ended     server:name ending:v took:num load
  *   17 woken
+ *   18 facts changed   str                         ; the facts as JSON
  *   30 dispatch        part:name server:name timeout:num reason:v position:v n:v n*( server:name cause:v )
  *   31 cancel          part:name number:v reason:v
  *   32 answer          scan:name whole:v reason:v
--- a/trace/src/test/java/sprucehold/trace/format/TraceFileTest.java
+++ b/trace/src/test/java/sprucehold/trace/format/TraceFileTest.java
@@ -13,7 +13,10 @@
 import java.util.zip.Deflater;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
+import sprucehold.port.Customer;
+import sprucehold.port.Deployment;
 import sprucehold.port.Event;
+import sprucehold.port.TableType;
 import sprucehold.trace.event.Entry;
 import sprucehold.trace.event.Head;
 import sprucehold.trace.event.Item;
@@ -141,4 +144,23 @@
         byte[] frame = Frame.write(Layout.BLOCK, noise, 0, 0, 0, 0, new Deflater(1, true));
         assertEquals(frame.length, Layout.FRAME_BYTES + noise.length);
     }
+
+    @Test
+    public void changeOfFactsAndScansUnderItAreReadAsTheyWere() throws IOException {
+        var type = new TableType("offers", TableType.Repeat.KEYED, 600, 2, 0.3, 900, 0.75, 0.75, 0);
+        var customer = new Customer("late comer", 3);
+        Deployment f = Samples.FACTS;
+        var facts = new Deployment(f.gatherers(), f.zone(), f.tickMs(), f.overShareBenefit(), List.of(type),
+                List.of(customer), f.layout(), f.limits(), f.coldRule(), f.dispatchBudget(), f.listAccess());
+        List<Entry> entries = List.of(
+                Moment.of(0, 0, 5, List.of(new Event.FactsChanged(facts)), List.of(), false),
+                Moment.of(0, 1, 6, List.of(new Event.ScanTaken("a", 1, type, customer, 9),
+                        new Event.ScanTaken("b", 2, Samples.TYPE, Samples.CUSTOMER, 9),
+                        new Event.ScanTaken("c", 3, type, null, 9)), List.of(), false));
+        Path file = Samples.file(Samples.bytes(HEAD, entries, true));
+        assertEquals(Samples.read(file), entries);
+        try (TraceReader reader = TraceReader.open(file)) {
+            assertTrue(reader.verify().sound());
+        }
+    }
 }
