--- a/change/src/main/java/sprucehold/change/line/VersionLine.java
+++ b/change/src/main/java/sprucehold/change/line/VersionLine.java
@@ -286,6 +286,11 @@
         return staged;
     }
 
+    /** The version that a proposal became, or null where it was never taken. */
+    public Long numberOf(String proposalId) {
+        return numberOfProposal.get(proposalId);
+    }
+
     /** Whether the live version is watched and not yet confirmed. */
     public boolean watched() {
         return watched;
--- a/cli/src/main/java/sprucehold/cli/ChangeCommand.java
+++ b/cli/src/main/java/sprucehold/cli/ChangeCommand.java
@@ -4,15 +4,8 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
-import java.net.ConnectException;
-import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
-import java.net.http.HttpResponse;
-import java.net.http.HttpTimeoutException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.UUID;
@@ -32,7 +25,7 @@
         + "watched, undone by itself.", mixinStandardHelpOptions = true, synopsisSubcommandLabel = "COMMAND",
         subcommands = {ChangeCommand.Check.class, ChangeCommand.Diff.class, ChangeCommand.Propose.class,
                 ChangeCommand.Status.class, ChangeCommand.Current.class, ChangeCommand.History.class,
-                ChangeCommand.Confirm.class, ChangeCommand.Undo.class})
+                ChangeCommand.Confirm.class, ChangeCommand.Undo.class, RolloutCommand.class})
 public final class ChangeCommand {
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
@@ -124,46 +117,7 @@
         private boolean json;
 
         JsonNode call(String method, String path, JsonNode body) throws IOException {
-            String token = Files.readString(tokenFile).strip();
-            HttpRequest request;
-            try {
-                request = HttpRequest.newBuilder(URI.create("http://" + door + path))
-                        .timeout(Duration.ofSeconds(10)).header("Authorization", "Bearer " + token)
-                        .method(method, body == null ? HttpRequest.BodyPublishers.noBody()
-                                : HttpRequest.BodyPublishers.ofString(body.toString())).build();
-            } catch (IllegalArgumentException e) {
-                throw new IOException("--door " + door + ": HOST:PORT was expected", e);
-            }
-            try {
-                HttpResponse<String> response = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).connectTimeout(Duration.ofSeconds(5)).build()
-                        .send(request, HttpResponse.BodyHandlers.ofString());
-                JsonNode answer = MAPPER.readTree(response.body());
-                if (response.statusCode() >= 400) {
-                    throw new IOException(words(answer));
-                }
-                return answer;
-            } catch (ConnectException | HttpTimeoutException e) {
-                throw new IOException("no gatherer's door answers at " + door, e);
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-                throw new IOException("interrupted", e);
-            }
-        }
-
-        private static String words(JsonNode answer) {
-            if (answer.has("error")) {
-                return answer.get("error").asText();
-            }
-            var words = new StringBuilder("turned down");
-            for (JsonNode fault : answer.path("faults")) {
-                String path = fault.path("path").asText();
-                words.append("; ").append(path.isEmpty() ? "" : path + ": ").append(fault.path("what").asText())
-                        .append(", ").append(fault.path("mend").asText());
-            }
-            for (JsonNode change : answer.path("meanwhile").path("changes")) {
-                words.append("; meanwhile ").append(change.path("words").asText());
-            }
-            return words.toString();
+            return new DoorCall(door, tokenFile).call(method, path, body);
         }
 
         Integer print(JsonNode answer) {
--- /dev/null
+++ b/cli/src/test/java/sprucehold/cli/RolloutCommandTest.java
@@ -0,0 +1,179 @@
+package sprucehold.cli;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import sprucehold.change.document.Document;
+import sprucehold.change.document.DocumentReader;
+import sprucehold.change.document.Running;
+import sprucehold.change.line.LineAction;
+import sprucehold.change.line.LineEvent;
+import sprucehold.change.line.VersionLine;
+
+/** The tool against scripted doors, whose versions are the real ones. */
+public class RolloutCommandTest {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final String DOCUMENT = """
+            {"tableTypes":[{"name":"offers","repeat":"replayable","targetMs":800,"queryTimeoutMs":2000}],
+             "limits":{"dispatchesPerPart":2,"maxOpen":%d},
+             "coldRule":{"startShare":1,"warmAfterMs":0,"multiple":1,"windowMs":0}}""";
+    private Path folder;
+    private final List<FakeDoor> doors = new ArrayList<>();
+
+    private static Document document(int maxOpen) {
+        return ((DocumentReader.Read.Good) DocumentReader.read(DOCUMENT.formatted(maxOpen).getBytes())).document();
+    }
+
+    /** A gatherer's door; a version is judged at the second look at it. */
+    private static final class FakeDoor {
+        final HttpServer server;
+        final VersionLine line = new VersionLine(document(100));
+        final boolean harmed;
+        int looks;
+        boolean silent;
+
+        FakeDoor(boolean harmed) throws IOException {
+            this.harmed = harmed;
+            server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+            server.createContext("/", this::handle);
+            server.start();
+        }
+
+        String address() {
+            return "127.0.0.1:" + server.getAddress().getPort();
+        }
+
+        private synchronized void handle(HttpExchange exchange) throws IOException {
+            byte[] body = exchange.getRequestBody().readAllBytes();
+            if (silent) {
+                exchange.close();
+                return;
+            }
+            String path = exchange.getRequestURI().getPath();
+            ObjectNode node = MAPPER.createObjectNode();
+            JsonNode answer = node;
+            int status = 200;
+            if (path.equals("/change/document")) {
+                answer = MAPPER.readTree(DocumentReader.write(line.live().document()));
+            } else if (path.equals("/change/history")) {
+                if (line.watched() && ++looks >= 2) {
+                    line.on(new LineEvent.Judged(line.live().number(), harmed, "so it was"));
+                }
+                ArrayNode all = MAPPER.createArrayNode();
+                line.history().forEach(of -> all.addObject().put("version", of.version().number())
+                        .put("state", of.how().name().toLowerCase(Locale.ROOT)).put("why", of.why()));
+                answer = all;
+            } else if (path.startsWith("/change/proposal/")) {
+                Long version = line.numberOf(path.substring("/change/proposal/".length()));
+                status = version == null ? 404 : 200;
+                node.put(version == null ? "error" : "version", version == null ? "none" : version.toString());
+                if (version != null) {
+                    node.put("version", version);
+                }
+            } else if (path.equals("/change/propose")) {
+                JsonNode asked = MAPPER.readTree(body);
+                Document wanted = ((DocumentReader.Read.Good) DocumentReader.read(
+                        MAPPER.writeValueAsBytes(asked.get("document")))).document();
+                for (LineAction action : line.on(new LineEvent.Proposed(asked.get("id").asText(), "o",
+                        asked.get("madeFrom").asLong(), wanted, Running.NOTHING))) {
+                    if (action instanceof LineAction.Accepted accepted) {
+                        node.put("version", accepted.version().number());
+                    } else if (action instanceof LineAction.AlreadyThere there) {
+                        node.put("version", there.number());
+                    } else if (action instanceof LineAction.TurnedDown) {
+                        status = 409;
+                        node.put("error", "turned down");
+                    }
+                }
+                line.on(new LineEvent.BetweenMoments());
+            } else if (path.equals("/change/undo")) {
+                line.on(new LineEvent.UndoAsked(MAPPER.readTree(body).get("version").asLong(), "o"));
+            } else {
+                node.put("live", line.live().number()).put("watched", line.watched());
+            }
+            byte[] bytes = MAPPER.writeValueAsBytes(answer);
+            exchange.sendResponseHeaders(status, bytes.length);
+            exchange.getResponseBody().write(bytes);
+            exchange.close();
+        }
+    }
+
+    @BeforeMethod
+    public void prepare() throws IOException {
+        folder = Files.createTempDirectory("rollout");
+        Files.writeString(folder.resolve("next.json"), DOCUMENT.formatted(90));
+        Files.writeString(folder.resolve("token"), "a token of some letters");
+    }
+
+    @AfterMethod
+    public void close() {
+        doors.forEach(door -> door.server.stop(0));
+        doors.clear();
+    }
+
+    private int roll() {
+        var arguments = new ArrayList<>(List.of("change", "rollout", folder.resolve("next.json").toString()));
+        doors.forEach(door -> arguments.add(door.address()));
+        arguments.addAll(List.of("--token-file", folder.resolve("token").toString(), "--state",
+                folder.resolve("state").toString(), "--by", "o"));
+        return Sprucehold.commandLine().execute(arguments.toArray(new String[0]));
+    }
+
+    private void fleet(boolean... harmed) throws IOException {
+        for (boolean of : harmed) {
+            doors.add(new FakeDoor(of));
+        }
+    }
+
+    private List<Integer> serving() {
+        return doors.stream().map(door -> door.line.live().document().limits().maxOpen()).toList();
+    }
+
+    @Test
+    public void soundChangeReachesEveryGatherer() throws IOException {
+        fleet(false, false, false);
+        assertEquals(roll(), 0);
+        assertEquals(serving(), List.of(90, 90, 90));
+    }
+
+    @Test
+    public void changeThatHarmsTheSecondWaveIsTakenBackFromTheFirst() throws IOException {
+        fleet(false, true, false, false);
+        assertEquals(roll(), 1);
+        // The first confirmed it, and serves a proposal of what was before; the last was never asked.
+        assertEquals(serving(), List.of(100, 100, 100, 100));
+        assertEquals(doors.get(3).line.live().number(), 1);
+    }
+
+    @Test
+    public void toolThatDiedGoesOnWhereItWas() throws IOException {
+        fleet(false, false);
+        // As if killed after the first was asked: the state on disk says so, and nothing else is known.
+        doors.get(0).line.on(new LineEvent.Proposed("r-7", "o", 1, document(90), Running.NOTHING));
+        doors.get(0).line.on(new LineEvent.BetweenMoments());
+        Files.writeString(folder.resolve("state"), "{\"id\":\"r-7\",\"waves\":[[\"" + doors.get(0).address() + "\"],[\""
+                + doors.get(1).address() + "\"]],\"wave\":0,\"standing\":{\"" + doors.get(0).address()
+                + "\":\"ASKED\",\"" + doors.get(1).address() + "\":\"UNTOUCHED\"},\"phase\":\"ROLLING\",\"why\":\"\"}");
+        assertEquals(roll(), 0);
+        assertEquals(serving(), List.of(90, 90));
+        assertEquals(doors.get(0).line.live().number(), 2, "asked once, not twice");
+        assertTrue(Files.readString(folder.resolve("state")).contains("\"DONE\""));
+    }
+}
--- a/gatherer/src/main/java/sprucehold/command/Main.java
+++ b/gatherer/src/main/java/sprucehold/command/Main.java
@@ -11,6 +11,7 @@
 import sprucehold.brain.Brain;
 import sprucehold.door.DoorPlan;
 import sprucehold.drill.Drill;
+import sprucehold.node.JsonLines;
 import sprucehold.node.Rehearsal;
 import sprucehold.node.Seat;
 import sprucehold.node.Service;
@@ -91,6 +92,9 @@
         }
     }
 
+    /** How lines of the log look; named as they are written on the command line. */
+    enum LogForm { text, json }
+
     @Command(name = "serve", description = "Runs one gatherer on sockets.", mixinStandardHelpOptions = true)
     public static final class Serve implements Callable<Integer> {
         @CommandLine.Mixin
@@ -103,9 +107,20 @@
         @Option(names = "--door", paramLabel = "FILE", description = "opens a door through which facts are changed "
                 + "while it serves, see deploy/door.schema.json")
         private Path door;
+        @Option(names = "--log", paramLabel = "FORM", defaultValue = "text", description = "text, or json for a JSON "
+                + "object a line (default: text)")
+        private LogForm log;
+        @Option(names = "--log-scans", description = "logs each scan that ends, as a JSON line with its ids")
+        private boolean logScans;
 
         @Override
         public Integer call() throws IOException, Service.StartFailedException {
+            if (log == LogForm.json) {
+                JsonLines.switchOn();
+            }
+            if (logScans) {
+                JsonLines.logScans();
+            }
             Seat seat = place.seat();
             DoorPlan plan = door == null ? null : DoorPlan.read(door);
             if (recording == null) {
--- a/gatherer/src/main/java/sprucehold/door/Door.java
+++ b/gatherer/src/main/java/sprucehold/door/Door.java
@@ -42,6 +42,7 @@
     private static final int MOST_BYTES = DocumentReader.MOST_BYTES + 4096;
     /** Who sends nothing, or reads nothing, for so long is closed. */
     private static final int IDLE_S = 10;
+    private static final String PROPOSAL = "/change/proposal/";
     private static final ObjectMapper MAPPER = JsonMapper.builder().build();
 
     private final Vertx vertx;
@@ -125,7 +126,12 @@
                 desk.line().history().forEach(outcome -> versions.add(outcome(outcome)));
                 answer(request, 200, bytes(versions));
             }
-            default -> answer(request, 404, error("no such path"));
+            default -> {
+                Long version = request.path().startsWith(PROPOSAL)
+                        ? desk.line().numberOf(request.path().substring(PROPOSAL.length())) : null;
+                answer(request, version == null ? 404 : 200, version == null ? error("no such path")
+                        : bytes(MAPPER.createObjectNode().put("version", version)));
+            }
         }
     }
 
--- a/gatherer/src/main/java/sprucehold/node/Changes.java
+++ b/gatherer/src/main/java/sprucehold/node/Changes.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.logging.Level;
 import java.util.logging.Logger;
 import sprucehold.change.document.Document;
 import sprucehold.change.document.Running;
@@ -189,7 +190,8 @@
             } else if (action instanceof LineAction.StopWatch) {
                 watch = null;
             } else if (action instanceof LineAction.Tell tell) {
-                LOG.info(tell.line());
+                LOG.log(Level.INFO, tell.line(), new Object[] {Map.of("version", line.live().number(), "watched",
+                        line.watched(), "confirmed", line.confirmed().number(), "by", line.live().by())});
             }
         }
         return actions;
--- a/gatherer/src/main/java/sprucehold/node/Node.java
+++ b/gatherer/src/main/java/sprucehold/node/Node.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Queue;
 import java.util.Set;
 import java.util.TreeSet;
@@ -237,6 +238,9 @@
             if (changes != null) {
                 changes.answered(clock.now(), reply.scan(), reply.answer());
             }
+            if (JsonLines.Scans.LOG.isLoggable(Level.FINE)) {
+                logged(reply);
+            }
             clients.answer(reply.scan(), reply.answer());
         });
         shards.probe(orders.probe());
@@ -246,6 +250,13 @@
         }
     }
 
+    private static void logged(Orders.Reply reply) {
+        String outcome = reply.answer() instanceof Answer.Completed completed ? completed.whole() ? "whole" : "part"
+                : reply.answer() instanceof Answer.Throttled ? "throttled" : "abandoned";
+        JsonLines.Scans.LOG.log(Level.FINE, "a scan has ended", new Object[] {Map.of("scan", reply.scan().id(),
+                "table_type", reply.scan().tableType(), "customer", reply.scan().customer(), "outcome", outcome)});
+    }
+
     private void arm(double at) {
         if (at == timerAt) {
             return;
--- /dev/null
+++ b/standin/src/main/java/sprucehold/standin/rules/RuleChecker.java
@@ -0,0 +1,211 @@
+package sprucehold.standin.rules;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import sprucehold.port.Deployment;
+import sprucehold.port.Listing;
+import sprucehold.port.TableType;
+import sprucehold.standin.ledger.Seen;
+
+/** Reads a run's ledger once, in order of time, and tells every breach of a rule. */
+public final class RuleChecker {
+    private final Terms terms;
+    private final List<Broken> broken = new ArrayList<>();
+    private final Map<String, Scan> scans = new HashMap<>();
+    private final Map<String, Double> drainsSince = new HashMap<>();
+    private final Map<String, Budget> budgets = new HashMap<>();
+
+    private static final class Scan {
+        final Seen.Asked asked;
+        final TableType type;
+        Seen.Answered answered;
+        double leftMs = Double.POSITIVE_INFINITY;
+        final Map<Integer, List<Double>> arrived = new HashMap<>();
+        final Map<Integer, List<Seen.Ran>> ran = new HashMap<>();
+
+        Scan(Seen.Asked asked, TableType type) {
+            this.asked = asked;
+            this.type = type;
+        }
+
+        double overMs() {
+            return Math.min(answered == null ? Double.POSITIVE_INFINITY : answered.atMs(), leftMs);
+        }
+    }
+
+    private static final class Budget {
+        final ArrayDeque<Double> taken = new ArrayDeque<>();
+        final ArrayDeque<Double> further = new ArrayDeque<>();
+    }
+
+    private RuleChecker(Terms terms) {
+        this.terms = terms;
+    }
+
+    /**
+     * @param inOrder all that was seen, by time
+     * @param endMs when the run ended: scans whose time is over by then must have an answer
+     */
+    public static List<Broken> check(Terms terms, List<Seen> inOrder, double endMs) {
+        var checker = new RuleChecker(terms);
+        inOrder.forEach(checker::see);
+        checker.end(endMs);
+        return List.copyOf(checker.broken);
+    }
+
+    private void broken(Rule rule, double atMs, String what) {
+        broken.add(new Broken(rule, atMs, what));
+    }
+
+    private void see(Seen seen) {
+        if (seen instanceof Seen.Asked asked) {
+            scans.put(asked.scan(), new Scan(asked, terms.types().get(asked.tableType())));
+            budgets.computeIfAbsent(asked.gatherer(), name -> new Budget()).taken.add(asked.atMs());
+        } else if (seen instanceof Seen.Answered answered) {
+            answered(answered);
+        } else if (seen instanceof Seen.Left left) {
+            Scan scan = scans.get(left.scan());
+            if (scan != null) {
+                scan.leftMs = left.atMs();
+            }
+        } else if (seen instanceof Seen.Arrived arrived) {
+            arrived(arrived);
+        } else if (seen instanceof Seen.Ran ran) {
+            ran(ran);
+        } else if (seen instanceof Seen.FellOver fell) {
+            broken(Rule.COLD, fell.atMs(), fell.server() + " was pushed over");
+        } else if (seen instanceof Seen.Told told) {
+            String key = told.gatherer() + " " + told.server();
+            if (told.mode() == Listing.Mode.RUNNING) {
+                drainsSince.remove(key);
+            } else {
+                drainsSince.putIfAbsent(key, told.atMs());
+            }
+        }
+    }
+
+    private void answered(Seen.Answered answered) {
+        Scan scan = scans.get(answered.scan());
+        if (scan == null) {
+            broken(Rule.ONE_ANSWER, answered.atMs(), "an answer to scan " + answered.scan() + ", which nobody asked");
+            return;
+        }
+        if (scan.answered != null) {
+            broken(Rule.ONE_ANSWER, answered.atMs(), "a second answer to scan " + answered.scan());
+            return;
+        }
+        scan.answered = answered;
+        if (answered.answer() == Seen.Answer.CLOSED) {
+            broken(Rule.ONE_ANSWER, answered.atMs(), "scan " + answered.scan() + " was closed without an answer");
+        } else if (answered.atMs() > scan.asked.atMs() + scan.asked.timeLeftMs() + terms.slackMs()) {
+            broken(Rule.ONE_ANSWER, answered.atMs(), "scan " + answered.scan() + " was answered "
+                    + (answered.atMs() - scan.asked.atMs()) + " ms after it was asked, its client waited "
+                    + scan.asked.timeLeftMs());
+        }
+        if (answered.answer() == Seen.Answer.COMPLETED) {
+            honest(scan, answered);
+        }
+    }
+
+    private void honest(Scan scan, Seen.Answered answered) {
+        double weight = 0;
+        for (Map.Entry<Integer, String> value : answered.values().entrySet()) {
+            Double of = scan.asked.weights().get(value.getKey());
+            if (of == null) {
+                broken(Rule.HONEST, answered.atMs(), "scan " + answered.scan() + " has segment " + value.getKey()
+                        + ", for which nobody asked");
+                continue;
+            }
+            weight += of;
+            List<Seen.Ran> ran = scan.ran.getOrDefault(value.getKey(), List.of());
+            if (ran.stream().noneMatch(one -> one.value().equals(value.getValue()))) {
+                broken(Rule.HONEST, answered.atMs(), "scan " + answered.scan() + ", segment " + value.getKey()
+                        + ": no shard server made its value");
+            }
+        }
+        // Sums of weights may fall a ten-thousandth short.
+        if (weight < scan.type.leastShare() - 1e-4) {
+            broken(Rule.HONEST, answered.atMs(), "scan " + answered.scan() + " was answered with " + weight
+                    + ", under the least share " + scan.type.leastShare());
+        } else if (answered.whole() && weight < scan.type.completeFrom() - 1e-4) {
+            broken(Rule.HONEST, answered.atMs(), "scan " + answered.scan() + " is called whole with " + weight + " of "
+                    + scan.type.completeFrom());
+        }
+    }
+
+    private void arrived(Seen.Arrived arrived) {
+        Scan scan = scans.get(arrived.scan());
+        if (scan == null) {
+            broken(Rule.ONE_ANSWER, arrived.atMs(), "a part of scan " + arrived.scan() + ", which nobody asked");
+            return;
+        }
+        if (arrived.atMs() > scan.overMs() + terms.wayMs()) {
+            broken(Rule.ONE_ANSWER, arrived.atMs(), "a part of scan " + arrived.scan() + " came "
+                    + (arrived.atMs() - scan.overMs()) + " ms after it was over");
+        }
+        Double drains = drainsSince.get(arrived.gatherer() + " " + arrived.server());
+        if (drains != null && arrived.atMs() > drains + terms.graceMs() + terms.wayMs()) {
+            broken(Rule.DRAINS, arrived.atMs(), arrived.gatherer() + " sent to " + arrived.server() + " "
+                    + (arrived.atMs() - drains) + " ms after it was told of its drain");
+        }
+        List<Double> before = scan.arrived.computeIfAbsent(arrived.segment(), segment -> new ArrayList<>());
+        if (!before.isEmpty()) {
+            further(arrived, scan, before);
+        }
+        before.add(arrived.atMs());
+    }
+
+    private void further(Seen.Arrived arrived, Scan scan, List<Double> before) {
+        boolean mayHaveRun = !scan.ran.getOrDefault(arrived.segment(), List.of()).isEmpty();
+        if (scan.type.repeat() == TableType.Repeat.KEYED && mayHaveRun
+                && arrived.atMs() > before.get(0) + scan.type.keyedWindowMs() + terms.wayMs()) {
+            broken(Rule.NO_EFFECT_TWICE, arrived.atMs(), "scan " + arrived.scan() + ", segment " + arrived.segment()
+                    + " went again " + (arrived.atMs() - before.get(0)) + " ms after its first, beyond its window");
+        }
+        Deployment.DispatchBudget budget = terms.budget();
+        Budget of = budgets.computeIfAbsent(arrived.gatherer(), name -> new Budget());
+        of.further.add(arrived.atMs());
+        if (!budget.equals(Deployment.DispatchBudget.NONE)) {
+            of.taken.removeIf(at -> at < arrived.atMs() - budget.windowMs() - terms.wayMs());
+            of.further.removeIf(at -> at < arrived.atMs() - budget.windowMs());
+            if (of.further.size() > budget.free() + budget.perTaken() * of.taken.size() + 1e-9) {
+                broken(Rule.BUDGET, arrived.atMs(), arrived.gatherer() + " sent " + of.further.size()
+                        + " further dispatches for " + of.taken.size() + " scans");
+            }
+        }
+    }
+
+    private void ran(Seen.Ran ran) {
+        Scan scan = scans.get(ran.scan());
+        if (scan == null) {
+            return;
+        }
+        List<Seen.Ran> before = scan.ran.computeIfAbsent(ran.segment(), segment -> new ArrayList<>());
+        if (!before.isEmpty() && scan.type.repeat() == TableType.Repeat.NON_REPLAYABLE) {
+            broken(Rule.NO_EFFECT_TWICE, ran.atMs(), "scan " + ran.scan() + ", segment " + ran.segment() + " ran at "
+                    + before.get(0).server() + " and at " + ran.server());
+        }
+        before.add(ran);
+    }
+
+    private void end(double endMs) {
+        Set<String> told = new HashSet<>();
+        for (Scan scan : scans.values()) {
+            double due = scan.asked.atMs() + scan.asked.timeLeftMs() + terms.slackMs();
+            if (scan.answered == null && scan.leftMs > due && due <= endMs && told.add(scan.asked.scan())) {
+                broken(Rule.ONE_ANSWER, due, "scan " + scan.asked.scan() + " had no answer");
+            }
+            // Judged at the end: what it may have run may run yet when it is throttled.
+            if (scan.answered != null && scan.answered.answer() == Seen.Answer.THROTTLED
+                    && scan.type.repeat() == TableType.Repeat.NON_REPLAYABLE && !scan.ran.isEmpty()) {
+                broken(Rule.NO_EFFECT_TWICE, scan.answered.atMs(), "scan " + scan.asked.scan()
+                        + " was throttled though a part of it ran: asked again it runs twice");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/sprucehold/standin/rules/Terms.java
@@ -0,0 +1,16 @@
+package sprucehold.standin.rules;
+
+import java.util.Map;
+import sprucehold.port.Deployment;
+import sprucehold.port.TableType;
+
+/**
+ * The figures that the rules are held by.
+ *
+ * @param slackMs how long after a client's time an answer still counts
+ * @param graceMs how long after it was told of a drain a gatherer may send
+ * @param wayMs how long what was written before an answer or a drain may be on its way
+ */
+public record Terms(Map<String, TableType> types, Deployment.DispatchBudget budget, double slackMs, double graceMs,
+        double wayMs) {
+}
--- /dev/null
+++ b/standin/src/test/java/sprucehold/standin/rules/RuleCheckerTest.java
@@ -0,0 +1,130 @@
+package sprucehold.standin.rules;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import sprucehold.port.Deployment;
+import sprucehold.port.Listing;
+import sprucehold.port.TableType;
+import sprucehold.standin.ledger.Ledger;
+import sprucehold.standin.ledger.Seen;
+
+/** Runs that keep the rules, and runs that break each on purpose. */
+public class RuleCheckerTest {
+    private static final Terms TERMS = new Terms(Map.of(
+            "any", new TableType("any", TableType.Repeat.REPLAYABLE, 500, 1, 0, 0, 0.75, 0.5, 0),
+            "once", new TableType("once", TableType.Repeat.NON_REPLAYABLE, 500, 1, 0, 0, 1, 1, 0),
+            "keyed", new TableType("keyed", TableType.Repeat.KEYED, 500, 1, 0, 300, 1, 1, 0)),
+            new Deployment.DispatchBudget(2, 0.5, 1000), 100, 50, 20);
+
+    private static Seen.Asked asked(String type, double at) {
+        return new Seen.Asked(at, "g", "s", type, 1000, Map.of(1, 0.5, 2, 0.5));
+    }
+
+    private static Seen.Arrived arrived(double at, String server, int segment) {
+        return new Seen.Arrived(at, "g", server, "s", segment);
+    }
+
+    private static Seen.Ran ran(double at, String server, int segment) {
+        return new Seen.Ran(at, server, "s", segment, "v" + segment);
+    }
+
+    private static Seen.Answered completed(double at, boolean whole, Map<Integer, String> values) {
+        return new Seen.Answered(at, "s", Seen.Answer.COMPLETED, whole, values);
+    }
+
+    private static Seen.Answered ended(double at, Seen.Answer how) {
+        return new Seen.Answered(at, "s", how, false, Map.of());
+    }
+
+    private static Seen.Told told(double at, Listing.Mode mode) {
+        return new Seen.Told(at, "g", "a", mode);
+    }
+
+    private static final Map<Integer, String> BOTH = Map.of(1, "v1", 2, "v2");
+
+    private static List<Seen> run(String type, Seen... more) {
+        var run = new ArrayList<Seen>(List.of(asked(type, 0)));
+        run.addAll(List.of(more));
+        return run;
+    }
+
+    @DataProvider
+    Object[][] runs() {
+        return new Object[][] {
+            // what, run, rules broken
+            {"a whole answer", run("any", arrived(1, "a", 1), arrived(1, "b", 2), ran(5, "a", 1), ran(5, "b", 2),
+                    completed(9, true, BOTH)), List.of()},
+            {"half an answer that says so", run("any", arrived(1, "a", 1), ran(5, "a", 1),
+                    completed(9, false, Map.of(1, "v1"))), List.of()},
+            {"a client that left", run("any", arrived(1, "a", 1), new Seen.Left(3, "s")), List.of()},
+            {"no answer", run("any", arrived(1, "a", 1)), List.of(Rule.ONE_ANSWER)},
+            {"two answers", run("any", ended(5, Seen.Answer.THROTTLED), ended(6, Seen.Answer.THROTTLED)),
+                List.of(Rule.ONE_ANSWER)},
+            {"a late answer", run("any", ended(1101, Seen.Answer.ABANDONED)), List.of(Rule.ONE_ANSWER)},
+            {"an answer just in time", run("any", ended(1100, Seen.Answer.ABANDONED)), List.of()},
+            {"a close", run("any", ended(5, Seen.Answer.CLOSED)), List.of(Rule.ONE_ANSWER)},
+            {"a part after the answer", run("any", ended(5, Seen.Answer.THROTTLED), arrived(26, "a", 1)),
+                List.of(Rule.ONE_ANSWER)},
+            {"a part on its way when it was answered", run("any", ended(5, Seen.Answer.THROTTLED),
+                    arrived(24, "a", 1)), List.of()},
+            {"a part after the client left", run("any", new Seen.Left(3, "s"), arrived(30, "a", 1)),
+                List.of(Rule.ONE_ANSWER)},
+            {"an effect twice", run("once", arrived(1, "a", 1), ran(2, "a", 1), arrived(3, "b", 1), ran(4, "b", 1),
+                    ended(9, Seen.Answer.ABANDONED)), List.of(Rule.NO_EFFECT_TWICE)},
+            {"a further try of what never ran", run("once", arrived(1, "a", 1), arrived(3, "b", 1), ran(4, "b", 1),
+                    ended(9, Seen.Answer.ABANDONED)), List.of()},
+            {"throttled though it ran, later", run("once", arrived(1, "a", 1), ended(9, Seen.Answer.THROTTLED),
+                    ran(500, "a", 1)), List.of(Rule.NO_EFFECT_TWICE)},
+            {"keyed beyond its window", run("keyed", arrived(1, "a", 1), ran(2, "a", 1), arrived(330, "b", 1),
+                    ended(400, Seen.Answer.ABANDONED)), List.of(Rule.NO_EFFECT_TWICE)},
+            {"keyed inside its window", run("keyed", arrived(1, "a", 1), ran(2, "a", 1), arrived(290, "b", 1),
+                    ended(400, Seen.Answer.ABANDONED)), List.of()},
+            {"sent to a draining server", run("any", told(1, Listing.Mode.DRAINING), arrived(80, "a", 1),
+                    ended(90, Seen.Answer.ABANDONED)), List.of(Rule.DRAINS)},
+            {"sent within the grace", run("any", told(1, Listing.Mode.DRAINING), arrived(60, "a", 1),
+                    ended(90, Seen.Answer.ABANDONED)), List.of()},
+            {"told of a drain twice, the first counts", run("any", told(1, Listing.Mode.DRAINING),
+                    told(40, Listing.Mode.GONE), arrived(80, "a", 1), ended(90, Seen.Answer.ABANDONED)),
+                List.of(Rule.DRAINS)},
+            {"sent when it was back", run("any", told(1, Listing.Mode.GONE), told(50, Listing.Mode.RUNNING),
+                    arrived(80, "a", 1), ended(90, Seen.Answer.ABANDONED)), List.of()},
+            {"pushed over", run("any", new Seen.FellOver(3, "a"), ended(9, Seen.Answer.THROTTLED)),
+                List.of(Rule.COLD)},
+            {"under the least share", run("any", completed(9, false, Map.of())), List.of(Rule.HONEST)},
+            {"called whole", run("any", arrived(1, "a", 1), ran(5, "a", 1), completed(9, true, Map.of(1, "v1"))),
+                List.of(Rule.HONEST)},
+            {"a value nobody made", run("any", arrived(1, "a", 1), ran(5, "a", 1),
+                    completed(9, false, Map.of(1, "x"))), List.of(Rule.HONEST)},
+            {"a segment nobody asked for", run("any", arrived(1, "a", 1), ran(5, "a", 1),
+                    completed(9, false, Map.of(1, "v1", 7, "v7"))), List.of(Rule.HONEST)},
+            {"further dispatches beyond the budget", run("any", arrived(1, "a", 1), arrived(2, "b", 1),
+                    arrived(3, "c", 1), arrived(4, "d", 1), ended(9, Seen.Answer.ABANDONED)), List.of(Rule.BUDGET)},
+            {"further dispatches within it", run("any", arrived(1, "a", 1), arrived(2, "b", 1), arrived(3, "c", 1),
+                    ended(9, Seen.Answer.ABANDONED)), List.of()},
+        };
+    }
+
+    @Test(dataProvider = "runs")
+    public void eachBreachIsToldAndNothingElse(String what, List<Seen> run, List<Rule> rules) {
+        List<Broken> broken = RuleChecker.check(TERMS, run, 10_000);
+        assertEquals(broken.stream().map(Broken::rule).toList(), rules, broken.toString());
+    }
+
+    @Test
+    public void scanStillOpenWhenTheRunEndsIsNoBreach() {
+        assertEquals(RuleChecker.check(TERMS, run("any"), 1000), List.of());
+    }
+
+    @Test
+    public void ledgerTellsInOrderOfTime() {
+        var ledger = new Ledger();
+        ledger.add(ended(9, Seen.Answer.THROTTLED));
+        ledger.add(asked("any", 0));
+        assertEquals(ledger.inOrder().get(0), asked("any", 0));
+    }
+}
