Count what the recorder is done with, so that a test can tell when it is idle

Cause: idle() looked at the queue and a flag, between which an entry in hand was neither; a slow machine's test could close too soon.

--- a/trace/src/main/java/sprucehold/trace/record/Recorder.java
+++ b/trace/src/main/java/sprucehold/trace/record/Recorder.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import sprucehold.port.Action;
@@ -44,7 +45,9 @@
     private final AtomicInteger waiting = new AtomicInteger();
     private final Thread thread;
     private volatile boolean closing;
-    private volatile boolean writing;
+    /** Entries handed to the writer, and those that it is done with. */
+    private final AtomicLong handedOver = new AtomicLong();
+    private final AtomicLong done = new AtomicLong();
 
     // Of the event loop alone.
     private long seq;
@@ -109,32 +112,33 @@
             return;
         }
         if (lost > 0) {
+            handedOver.incrementAndGet();
             queue.add(new Gap(0, lostFrom, lostFromMs, lost, lostToMs));
             lost = 0;
         }
         waiting.addAndGet(records);
+        handedOver.incrementAndGet();
         queue.add(Moment.of(0, number, nowMs, events, actions, failed));
     }
 
     /** Whether all that was taken has been dealt with. */
     boolean idle() {
-        return queue.isEmpty() && !writing;
+        return done.get() == handedOver.get();
     }
 
     private void run() {
         long flushedAt = System.nanoTime();
         try {
             while (!closing || !queue.isEmpty()) {
-                writing = false;
                 Entry entry = queue.poll(FLUSH_MS / 4, TimeUnit.MILLISECONDS);
                 if (entry != null) {
-                    writing = true;
                     if (entry instanceof Moment moment) {
                         waiting.addAndGet(-moment.items().size());
                     }
                     for (Entry kept : thinning == null ? List.of(entry) : thinning.add(entry)) {
                         write(kept);
                     }
+                    done.incrementAndGet();
                 }
                 if (writer != null && System.nanoTime() - flushedAt > FLUSH_MS * 1_000_000) {
                     flushedAt = System.nanoTime();
--- a/trace/src/test/java/sprucehold/trace/record/RecorderTest.java
+++ b/trace/src/test/java/sprucehold/trace/record/RecorderTest.java
@@ -122,6 +122,8 @@
             for (int i = 0; i < 20_000; i++) {
                 scan(recorder, i + 1, Samples.BEGIN + i);
             }
+            // However slow the machine: the end of a process waits two seconds only.
+            waitUntilIdle(recorder);
         }
         assertTrue(files().size() > 3, files().toString());
         assertEquals(accounted(all()), 20_000);
@@ -138,6 +140,8 @@
             for (int i = 0; i < 20_000; i++) {
                 scan(recorder, i + 1, Samples.BEGIN + i);
             }
+            // However slow the machine: the end of a process waits two seconds only.
+            waitUntilIdle(recorder);
         }
         assertEquals(files().size(), 2);
         List<Entry> last = Samples.read(files().get(1));
@@ -164,6 +168,7 @@
         // The gap is written with the next call that finds room.
         waitUntilIdle(recorder);
         scan(recorder, 5001, Samples.BEGIN + 5000);
+        waitUntilIdle(recorder);
         recorder.close();
         List<Entry> entries = all();
         assertEquals(accounted(entries), 5001);
@@ -211,6 +216,7 @@
         for (; calls < 31_000; calls++) {
             scan(recorder, calls + 1, Samples.BEGIN + 60_000 + calls);
         }
+        waitUntilIdle(recorder);
         recorder.close();
         assertEquals(warnings(), 1);
         List<Entry> entries = all();
