Confirm a rollout's way back, so that the watch can't undo it to the harmful change

Change: the way back is confirmed once it is live, and only then counts as taken back; the scripted door knows confirm. Measured: the rollout's tests pass; the new assertion is on the version left watched before.

--- a/cli/src/main/java/sprucehold/cli/RolloutCommand.java
+++ b/cli/src/main/java/sprucehold/cli/RolloutCommand.java
@@ -177,6 +177,15 @@
         return List.of();
     }
 
+    /** The version by which the gatherer went back, or -1. */
+    private long backAt(String gatherer, String id) throws IOException {
+        try {
+            return door(gatherer).call("GET", "/change/proposal/" + id + "-back", null).path("version").longValue();
+        } catch (DoorCall.TurnedDownException e) {
+            return -1;
+        }
+    }
+
     private List<Rollout.RolloutAction> takeBack(Rollout rollout, String gatherer, String id) {
         try {
             JsonNode status = door(gatherer).call("GET", "/change/status", null);
@@ -189,6 +198,11 @@
                 ObjectNode body = MAPPER.createObjectNode().put("id", id + "-back").put("by", by).put("madeFrom", live);
                 body.set("document", before.get(gatherer));
                 door(gatherer).call("POST", "/change/propose", body);
+                return List.of();
+            } else if (status.path("watched").booleanValue() && live == backAt(gatherer, id)) {
+                // Watched it could be undone, to the very change that is being taken back.
+                door(gatherer).call("POST", "/change/confirm", MAPPER.createObjectNode().put("version", live)
+                        .put("by", by));
             }
             // Neither live nor ever there: it serves something else by now, which is not this rollout's to take back.
             return rollout.answered(gatherer, Standing.TAKEN_BACK, "");
--- a/cli/src/test/java/sprucehold/cli/RolloutCommandTest.java
+++ b/cli/src/test/java/sprucehold/cli/RolloutCommandTest.java
@@ -1,6 +1,7 @@
 package sprucehold.cli;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -103,6 +104,8 @@
                     }
                 }
                 line.on(new LineEvent.BetweenMoments());
+            } else if (path.equals("/change/confirm")) {
+                line.on(new LineEvent.ConfirmAsked(MAPPER.readTree(body).get("version").asLong(), "o"));
             } else if (path.equals("/change/undo")) {
                 line.on(new LineEvent.UndoAsked(MAPPER.readTree(body).get("version").asLong(), "o"));
             } else {
@@ -160,6 +163,7 @@
         // The first confirmed it, and serves a proposal of what was before; the last was never asked.
         assertEquals(serving(), List.of(100, 100, 100, 100));
         assertEquals(doors.get(3).line.live().number(), 1);
+        assertFalse(doors.get(0).line.watched(), "an undoing would bring the harmful change back");
     }
 
     @Test
