--- a/cli/src/main/java/sprucehold/cli/Sprucehold.java
+++ b/cli/src/main/java/sprucehold/cli/Sprucehold.java
@@ -8,7 +8,8 @@
 @Command(name = "sprucehold", description = "The root node (gatherer) of a sharded search service, and its tools.",
         mixinStandardHelpOptions = true, versionProvider = Main.Version.class, synopsisSubcommandLabel = "COMMAND",
         subcommands = {Main.Serve.class, Main.Check.class, Main.Rehearse.class, Main.StandIn.class,
-                Main.DrillCommand.class, Main.VersionCommand.class, TraceCommand.class, ChangeCommand.class})
+                Main.DrillCommand.class, Main.VersionCommand.class, TraceCommand.class, ChangeCommand.class,
+                RigCommand.class, LoadCommand.class})
 public final class Sprucehold {
     private Sprucehold() {
     }
--- a/core/src/main/java/sprucehold/picker/Dispatch.java
+++ b/core/src/main/java/sprucehold/picker/Dispatch.java
@@ -34,6 +34,11 @@
         return part.scan.scan;
     }
 
+    /** How long it has been out at a moment, in milliseconds. */
+    public double outMs(double nowMs) {
+        return nowMs - sentAt;
+    }
+
     /** How long its answer is waited for. */
     public double patienceMs() {
         return patienceEndsAt - sentAt;
--- a/core/src/main/java/sprucehold/picker/Orders.java
+++ b/core/src/main/java/sprucehold/picker/Orders.java
@@ -1,6 +1,7 @@
 package sprucehold.picker;
 
 import java.util.List;
+import sprucehold.port.Reason;
 
 /**
  * What is to be done now. Dispatches called off were ordered earlier; none of those to send is among them, and
@@ -13,7 +14,7 @@
 public record Orders(List<Dispatch> callOff, List<Dispatch> send, List<Reply> replies, List<ShardServer> probe,
         boolean askList, List<String> notes, double nextTickAtMs) {
 
-    /** The final answer of a scan. */
-    public record Reply(Scan scan, Answer answer) {
+    /** The final answer of a scan, and why it is this one: {@link Reason#UNSTATED} where the decisions had no say. */
+    public record Reply(Scan scan, Answer answer, Reason reason) {
     }
 }
--- a/core/src/main/java/sprucehold/picker/Picker.java
+++ b/core/src/main/java/sprucehold/picker/Picker.java
@@ -20,6 +20,7 @@
 import sprucehold.port.Gatherer;
 import sprucehold.port.Listing;
 import sprucehold.port.LoadReport;
+import sprucehold.port.Reason;
 import sprucehold.port.TableType;
 
 /**
@@ -112,7 +113,7 @@
         now = nowMs;
         // A type may have gone by a change since the scan was read.
         if (scans.size() + openParts >= maxOpen || !tableTypes.containsKey(scan.tableType())) {
-            replies.add(new Orders.Reply(scan, new Answer.Throttled(0)));
+            replies.add(new Orders.Reply(scan, new Answer.Throttled(0), Reason.UNSTATED));
             return orders();
         }
         double timeLeftMs = Math.min(scan.timeLeftMs(), mostMs);
@@ -243,12 +244,12 @@
             if (open != null) {
                 List<Answer.Value> values = open.parts.stream().filter(part -> part.value != null)
                         .map(part -> new Answer.Value(part.segment, part.value)).toList();
-                reply(open, new Answer.Completed(answer.whole(), values));
+                reply(open, new Answer.Completed(answer.whole(), values), answer.reason());
             }
         } else if (action instanceof Action.Throttle throttle) {
-            reply(scans.get(throttle.scanId()), new Answer.Throttled(throttle.comeBackMs()));
+            reply(scans.get(throttle.scanId()), new Answer.Throttled(throttle.comeBackMs()), throttle.reason());
         } else if (action instanceof Action.Abandon abandon) {
-            reply(scans.get(abandon.scanId()), new Answer.Abandoned());
+            reply(scans.get(abandon.scanId()), new Answer.Abandoned(), abandon.reason());
         } else if (action instanceof Action.Wake wake) {
             wakeAt = Math.min(wakeAt, now + wake.delayMs());
         } else if (action instanceof Action.Probe wanted) {
@@ -326,16 +327,16 @@
         return load == null ? null : new LoadReport(load.held(), load.queued(), load.busy());
     }
 
-    private void reply(OpenScan open, Answer answer) {
+    private void reply(OpenScan open, Answer answer, Reason reason) {
         if (open != null) {
-            replies.add(new Orders.Reply(open.scan, answer));
+            replies.add(new Orders.Reply(open.scan, answer, reason));
             close(open);
         }
     }
 
     /** Ends a scan that the decisions failed on. */
     private void abandon(OpenScan open) {
-        reply(open, new Answer.Abandoned());
+        reply(open, new Answer.Abandoned(), Reason.UNSTATED);
         open.parts.forEach(part -> List.copyOf(part.dispatches).forEach(this::callOff));
         events.add(new Event.ClientLeft(open.scan.id()));
     }
--- a/gatherer/src/main/java/sprucehold/command/Main.java
+++ b/gatherer/src/main/java/sprucehold/command/Main.java
@@ -110,7 +110,9 @@
         @Option(names = "--log", paramLabel = "FORM", defaultValue = "text", description = "text, or json for a JSON "
                 + "object a line (default: text)")
         private LogForm log;
-        @Option(names = "--log-scans", description = "logs each scan that ends, as a JSON line with its ids")
+        @Option(names = "--log-scans", defaultValue = "${env:SPRUCEHOLD_LOG_SCANS:-false}", description = "logs each scan "
+                + "taken and ended, and each dispatch's end, as JSON lines with their ids (default: "
+                + "$SPRUCEHOLD_LOG_SCANS, or not)")
         private boolean logScans;
 
         @Override
--- a/gatherer/src/main/java/sprucehold/node/JsonLines.java
+++ b/gatherer/src/main/java/sprucehold/node/JsonLines.java
@@ -10,7 +10,6 @@
 import java.util.logging.ConsoleHandler;
 import java.util.logging.Formatter;
 import java.util.logging.Handler;
-import java.util.logging.Level;
 import java.util.logging.LogRecord;
 import java.util.logging.Logger;
 
@@ -28,22 +27,11 @@
         }
     }
 
-    /** Logs a line for each scan that ends, with its ids as fields. */
+    /** Logs a line for each scan taken, each dispatch that ends, and each scan that ends, with their ids as fields. */
     public static void logScans() {
-        Scans.LOG.setLevel(Level.FINE);
         var handler = new ConsoleHandler();
-        handler.setLevel(Level.FINE);
         handler.setFormatter(new JsonLines());
-        Scans.LOG.addHandler(handler);
-        Scans.LOG.setUseParentHandlers(false);
-    }
-
-    /** Where scans are logged. */
-    static final class Scans {
-        static final Logger LOG = Logger.getLogger("sprucehold.scans");
-
-        private Scans() {
-        }
+        ScanLog.to(handler);
     }
 
     @Override
--- a/gatherer/src/main/java/sprucehold/node/Node.java
+++ b/gatherer/src/main/java/sprucehold/node/Node.java
@@ -8,7 +8,6 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Queue;
 import java.util.Set;
 import java.util.TreeSet;
@@ -144,6 +143,7 @@
     @Override
     public void take(Scan scan) {
         scansTaken++;
+        ScanLog.taken(scan);
         if (closed) {
             clients.answer(scan, new Answer.Throttled(0));
             return;
@@ -176,6 +176,7 @@
             hasList = true;
             LOG.info("ready: a list of shard servers is held");
         }
+        ScanLog.reported(report, clock.now());
         reports.add(report);
         if (reports.size() == 1) {
             soon(this::reported);
@@ -238,9 +239,7 @@
             if (changes != null) {
                 changes.answered(clock.now(), reply.scan(), reply.answer());
             }
-            if (JsonLines.Scans.LOG.isLoggable(Level.FINE)) {
-                logged(reply);
-            }
+            ScanLog.ended(reply);
             clients.answer(reply.scan(), reply.answer());
         });
         shards.probe(orders.probe());
@@ -250,13 +249,6 @@
         }
     }
 
-    private static void logged(Orders.Reply reply) {
-        String outcome = reply.answer() instanceof Answer.Completed completed ? completed.whole() ? "whole" : "part"
-                : reply.answer() instanceof Answer.Throttled ? "throttled" : "abandoned";
-        JsonLines.Scans.LOG.log(Level.FINE, "a scan has ended", new Object[] {Map.of("scan", reply.scan().id(),
-                "table_type", reply.scan().tableType(), "customer", reply.scan().customer(), "outcome", outcome)});
-    }
-
     private void arm(double at) {
         if (at == timerAt) {
             return;
--- /dev/null
+++ b/rig/src/main/java/sprucehold/rig/link/TcpRelay.java
@@ -0,0 +1,66 @@
+package sprucehold.rig.link;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetClientOptions;
+import io.vertx.core.net.NetServer;
+import io.vertx.core.net.NetServerOptions;
+import io.vertx.core.net.NetSocket;
+import io.vertx.core.net.SocketAddress;
+import sprucehold.rig.script.Fault;
+
+/** Stands between two processes on a connection of theirs: the dialler's end and the far end are held by one link. */
+public final class TcpRelay {
+    private final Wires wires;
+    private final String from;
+    private final String to;
+    private final SocketAddress target;
+    private final NetClient client;
+    private final NetServer server;
+
+    public TcpRelay(Vertx vertx, Wires wires, String from, String to, SocketAddress target) {
+        this.wires = wires;
+        this.from = from;
+        this.to = to;
+        this.target = target;
+        this.client = vertx.createNetClient(new NetClientOptions().setTcpNoDelay(true));
+        this.server = vertx.createNetServer(new NetServerOptions().setTcpNoDelay(true)).connectHandler(this::accepted);
+    }
+
+    /** Returns the port at which it listens. */
+    public Future<Integer> listen(String host, int port) {
+        return server.listen(port, host).map(NetServer::actualPort);
+    }
+
+    public Future<Void> close() {
+        return client.close().eventually(server::close);
+    }
+
+    private void accepted(NetSocket near) {
+        if (wires.board().of(from, to).cut() == Fault.Mode.REFUSED) {
+            near.close();
+            return;
+        }
+        near.pause();
+        client.connect(target).onComplete(far -> {
+            // Faults work on the near end alone: what is shaped twice would come twice as late.
+            var shaped = wires.shape(near, from, to, new ShapedSocket.Owner() {
+                @Override
+                public void received(Buffer bytes, double readMs) {
+                    far.write(bytes);
+                }
+
+                @Override
+                public void closed() {
+                    far.close();
+                }
+            });
+            far.handler(shaped::write);
+            far.exceptionHandler(failure -> { });
+            far.closeHandler(none -> shaped.close());
+            near.resume();
+        }, failure -> near.close());
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/sprucehold/rig/plan/Planner.java
@@ -0,0 +1,130 @@
+package sprucehold.rig.plan;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.sampling.ListSampler;
+import org.apache.commons.rng.sampling.distribution.RejectionInversionZipfSampler;
+import org.apache.commons.rng.sampling.distribution.ZigguratSampler;
+import org.apache.commons.rng.simple.RandomSource;
+import sprucehold.rig.script.Cast;
+import sprucehold.rig.script.Fault;
+import sprucehold.rig.script.Script;
+
+/** Draws a run from a script and a seed. */
+public final class Planner {
+    private final Script script;
+    private final Cast cast;
+    private final long seed;
+
+    private Planner(Script script, long seed) {
+        this.script = script;
+        this.cast = Cast.of(script);
+        this.seed = seed;
+    }
+
+    public static Plan plan(Script script, long seed) {
+        return new Planner(script, seed).plan();
+    }
+
+    /** The plan as JSON, byte for byte the same for the same script and seed. */
+    public static byte[] json(Plan plan) {
+        try {
+            return JsonMapper.builder().enable(SerializationFeature.INDENT_OUTPUT)
+                    .enable(SerializationFeature.ORDER_MAP_ENTRIES_BY_KEYS).build().writeValueAsBytes(plan);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("a plan has a JSON form", e);
+        }
+    }
+
+    /** A source of chance of its own for each thing drawn, so that one more scan moves nothing else. */
+    private UniformRandomProvider chance(String what, int number) {
+        return RandomSource.XO_RO_SHI_RO_128_PP.create(seed * 0x9E3779B97F4A7C15L + 31L * what.hashCode() + number);
+    }
+
+    private Plan plan() {
+        var faults = new ArrayList<Plan.Befall>();
+        for (int i = 0; i < script.faults().size(); i++) {
+            Fault fault = script.faults().get(i);
+            List<String> of = select(fault.of());
+            if (fault.some() > 0) {
+                of = new ArrayList<>(of);
+                // By name: a fault draws the same ones whichever others are dropped from the script.
+                ListSampler.shuffle(chance("fault " + fault.name(), 0), of);
+                of = of.subList(0, fault.some()).stream().sorted().toList();
+            }
+            faults.add(new Plan.Befall(fault, of, select(fault.to())));
+        }
+        var gatherers = new ArrayList<Plan.Gatherer>();
+        for (String name : cast.gatherers()) {
+            double off = faults.stream().filter(f -> f.fault().kind() == Fault.Kind.CLOCK_OFF && f.fault().when() == null
+                    && f.fault().atS() == 0 && f.of().contains(name)).mapToDouble(f -> f.fault().amount()).sum();
+            gatherers.add(new Plan.Gatherer(name, cast.siteOf().get(name),
+                    chance("gatherer", gatherers.size()).nextLong(), off));
+        }
+        var servers = new ArrayList<Plan.Server>();
+        for (String name : cast.servers()) {
+            int cell = Integer.parseInt(name.split("-")[2]);
+            servers.add(new Plan.Server(name, cast.siteOf().get(name), cell, chance("server", servers.size()).nextLong()));
+        }
+        var asks = new ArrayList<Plan.Ask>();
+        for (int i = 0; i < script.load().size(); i++) {
+            asks(i, asks);
+        }
+        asks.sort(Comparator.comparingDouble(Plan.Ask::atMs).thenComparing(Plan.Ask::id));
+        return new Plan(seed, List.copyOf(gatherers), List.copyOf(servers), List.copyOf(asks), List.copyOf(faults));
+    }
+
+    private List<String> select(List<String> groups) {
+        return groups.stream().flatMap(who -> cast.select(who).stream()).distinct().toList();
+    }
+
+    /** Poisson arrivals whose rate changes: drawn at the highest rate and thinned (Lewis and Shedler). */
+    private void asks(int line, List<Plan.Ask> into) {
+        Script.Load load = script.load().get(line);
+        UniformRandomProvider chance = chance("load", line);
+        double most = Math.max(load.scansPerS(), load.ramps().stream().mapToDouble(Script.Ramp::scansPerS).max().orElse(0));
+        if (most <= 0) {
+            return;
+        }
+        var gap = ZigguratSampler.Exponential.of(chance, 1 / most);
+        for (double at = gap.sample(); at < script.lengthS(); at += gap.sample()) {
+            double draw = chance.nextDouble();
+            String id = String.format(Locale.ROOT, "%016x", chance.nextLong());
+            Map<Integer, Double> weights = weights(load, chance);
+            if (draw < rate(load, at) / most) {
+                into.add(new Plan.Ask(at * 1000, id, line, weights));
+            }
+        }
+    }
+
+    private static double rate(Script.Load load, double atS) {
+        double rate = load.scansPerS();
+        double since = Double.NEGATIVE_INFINITY;
+        for (Script.Ramp ramp : load.ramps()) {
+            if (ramp.atS() <= atS && ramp.atS() >= since) {
+                since = ramp.atS();
+                rate = ramp.scansPerS();
+            }
+        }
+        return rate;
+    }
+
+    /** Distinct segments with equal weights; the first ones oftener where some are popular. */
+    private Map<Integer, Double> weights(Script.Load load, UniformRandomProvider chance) {
+        var weights = new TreeMap<Integer, Double>();
+        var zipf = load.popular() > 0
+                ? RejectionInversionZipfSampler.of(chance, script.segments(), load.popular()) : null;
+        while (weights.size() < load.parts()) {
+            weights.put(zipf == null ? chance.nextInt(script.segments()) : zipf.sample() - 1, 1.0 / load.parts());
+        }
+        return weights;
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/sprucehold/rig/run/Run.java
@@ -0,0 +1,476 @@
+package sprucehold.rig.run;
+
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.core.net.SocketAddress;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.function.Consumer;
+import org.HdrHistogram.Histogram;
+import sprucehold.rig.fault.FaultBoard;
+import sprucehold.rig.link.Wires;
+import sprucehold.rig.list.AgentHost;
+import sprucehold.rig.list.ServerList;
+import sprucehold.rig.load.Clients;
+import sprucehold.rig.load.Front;
+import sprucehold.rig.plan.Addresses;
+import sprucehold.rig.plan.Plan;
+import sprucehold.rig.plan.Planner;
+import sprucehold.rig.process.GathererProcess;
+import sprucehold.rig.process.Guardian;
+import sprucehold.rig.process.Home;
+import sprucehold.rig.process.SeatFile;
+import sprucehold.rig.script.Fault;
+import sprucehold.rig.script.Script;
+import sprucehold.rig.server.ServerHost;
+import sprucehold.rig.verdict.Figures;
+import sprucehold.rig.verdict.Outcome;
+import sprucehold.rig.verdict.Verdict;
+import sprucehold.standin.ledger.Ledger;
+import sprucehold.standin.ledger.Seen;
+
+/** One run. Bounded in time by its script; whatever happens, its processes end with it. */
+public final class Run implements AutoCloseable {
+    /** Discovery learns so late that a server died, as health checks a second apart do on the mean. */
+    private static final long DEATH_KNOWN_MS = 500;
+    /** Clients are done by their longest time to wait, and this. */
+    private static final double AFTER_MS = 1500;
+    private static final long END_WITHIN_MS = 12_000;
+    private static final long LOOK_MS = 10;
+
+    private final Script script;
+    private final Plan plan;
+    private final Home home;
+    private final RunFolder folder;
+    private final Consumer<String> progress;
+    private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(8)
+            .setInternalBlockingPoolSize(2));
+    private final double startedAtMs = System.currentTimeMillis();
+    private final long startedNanos = System.nanoTime();
+    private final Ledger ledger = new Ledger();
+    private final Addresses addresses;
+    private final Guardian guardian;
+    private final Wires wires;
+    private final ServerList list;
+    private final List<ServerHost> servers = new ArrayList<>();
+    private final Map<String, AgentHost> agents = new LinkedHashMap<>();
+    private final Map<String, GathererProcess> gatherers = new LinkedHashMap<>();
+    private final Map<String, Integer> out = new HashMap<>();
+    private final Front front;
+    private final Clients clients;
+    private final FaultBoard board;
+    private final List<RunFolder.Span> spans = new ArrayList<>();
+    private final Map<Plan.Befall, Double> began = new HashMap<>();
+    private final Map<String, Double> heldSince = new HashMap<>();
+    /** Gatherers that were told to end or killed: their end is no crash. */
+    private final Map<String, Boolean> sentAway = new HashMap<>();
+    private final List<String> crashed = new ArrayList<>();
+    private final List<Outcome> outcomes = new ArrayList<>();
+    private final Histogram loopLate = new Histogram(3);
+    private double firstMs;
+    private int nextAsk;
+    private double lookedAt = Double.NaN;
+    private double cpuAtFirst;
+    private boolean ending;
+
+    private Run(Script script, long seed, Home home, RunFolder folder, Consumer<String> progress) throws IOException {
+        this.script = script;
+        this.plan = Planner.plan(script, seed);
+        this.home = home;
+        this.folder = folder;
+        this.progress = progress;
+        this.addresses = Addresses.claim();
+        this.guardian = new Guardian();
+        this.wires = new Wires(vertx, this::now, seed);
+        this.list = new ServerList(plan.servers().stream().map(server -> new ServerList.Entry(server.name(), server.site(),
+                server.cell(), ServerList.Status.ACTIVE, 0, 0)).toList());
+        var siteOf = new HashMap<String, String>();
+        plan.gatherers().forEach(gatherer -> siteOf.put(gatherer.name(), gatherer.site()));
+        this.front = new Front(siteOf, script.frontLearnsMs());
+        this.clients = new Clients(vertx, wires, this::now, ledger, script, front,
+                name -> SocketAddress.inetSocketAddress(addresses.gathererPort(), addresses.gatherer(number(name))),
+                this::ended);
+        this.board = new FaultBoard(plan.faults());
+    }
+
+    /**
+     * Plays a script to its end and judges it.
+     *
+     * @param progress takes a line from time to time
+     * @throws IOException if something could not be started, in one line
+     */
+    public static Verdict play(Script script, long seed, Home home, RunFolder folder, Consumer<String> progress)
+            throws IOException {
+        try (var run = new Run(script, seed, home, folder, progress)) {
+            folder.writePlan(script, run.plan);
+            return run.play();
+        }
+    }
+
+    private Verdict play() throws IOException {
+        var done = new CompletableFuture<Void>();
+        vertx.runOnContext(none -> start().compose(ready -> load()).compose(loaded -> end())
+                .onComplete(all -> done.complete(null), done::completeExceptionally));
+        try {
+            done.get();
+        } catch (ExecutionException e) {
+            throw e.getCause() instanceof IOException io ? io : new IOException(String.valueOf(e.getCause()), e.getCause());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException("interrupted", e);
+        }
+        double cores = (cpuMs() - cpuAtFirst) / Math.max(1, now() - firstMs);
+        double memory = gatherers.values().stream().mapToLong(GathererProcess::peakKb).max().orElse(0) / 1024.0;
+        gatherers.forEach((name, process) -> {
+            if (process.flooded()) {
+                crashed.add(name + " flooded its log");
+            }
+        });
+        outcomes.sort(Comparator.comparingDouble(Outcome::plannedMs));
+        return folder.write(new RunFolder.Kept(plan.seed(), List.copyOf(spans), List.copyOf(outcomes),
+                new Figures.Self(loopLate.getValueAtPercentile(99) / 1000.0, loopLate.getMaxValue() / 1000.0, cores, memory),
+                List.copyOf(crashed)), ledger.inOrder());
+    }
+
+    private static double cpuMs() {
+        return ProcessHandle.current().info().totalCpuDuration().map(Duration::toMillis).orElse(0L);
+    }
+
+    /** Unix time in milliseconds that never goes back: the run's one clock. */
+    private double now() {
+        return startedAtMs + (System.nanoTime() - startedNanos) / 1e6;
+    }
+
+    private double atS() {
+        return (now() - firstMs) / 1000;
+    }
+
+    private int number(String gatherer) {
+        for (int i = 0; i < plan.gatherers().size(); i++) {
+            if (plan.gatherers().get(i).name().equals(gatherer)) {
+                return i;
+            }
+        }
+        throw new IllegalArgumentException("no gatherer is called " + gatherer);
+    }
+
+    // ---- Start ----
+
+    private Future<Void> start() {
+        var all = new ArrayList<Future<?>>();
+        for (int i = 0; i < plan.servers().size(); i++) {
+            String name = plan.servers().get(i).name();
+            servers.add(new ServerHost(vertx, wires, this::now, ledger, addresses, script, plan, i, this::outs,
+                    () -> fellOver(name)));
+            all.add(servers.get(i).listen());
+        }
+        for (int i = 0; i < plan.gatherers().size(); i++) {
+            Plan.Gatherer gatherer = plan.gatherers().get(i);
+            int number = i;
+            var agent = new AgentHost(vertx, this::now, ledger, list, gatherer.name(), entry -> addresses.server(number,
+                    server(entry.name())) + ":" + addresses.serverPort(entry.life()));
+            agents.put(gatherer.name(), agent);
+            all.add(agent.listen(addresses.discovery(i), addresses.discoveryPort()));
+            gatherers.put(gatherer.name(), new GathererProcess(vertx, home, guardian, gatherer.name(),
+                    SocketAddress.inetSocketAddress(addresses.gathererPort(), addresses.gatherer(i)),
+                    folder.file(gatherer.name() + ".log")));
+        }
+        return Future.all(all).compose(listening -> {
+            progress.accept("starting " + gatherers.size() + " gatherers among " + servers.size() + " shard servers");
+            return Future.all(plan.gatherers().stream().map(one -> start(one.name(), one.clockOffMs())).toList()).mapEmpty();
+        });
+    }
+
+    private int server(String name) {
+        for (int i = 0; i < plan.servers().size(); i++) {
+            if (plan.servers().get(i).name().equals(name)) {
+                return i;
+            }
+        }
+        throw new IllegalArgumentException("no shard server is called " + name);
+    }
+
+    private Future<Void> start(String name, double clockOffMs) {
+        int number = number(name);
+        sentAway.remove(name);
+        String listen = addresses.gatherer(number) + ":" + addresses.gathererPort();
+        try {
+            Files.writeString(folder.file(name + ".json"), SeatFile.json(script, plan.gatherers().get(number), listen,
+                    addresses.discovery(number) + ":" + addresses.discoveryPort(), agents.get(name).known()));
+        } catch (IOException e) {
+            return Future.failedFuture(e);
+        }
+        GathererProcess process = gatherers.get(name);
+        return process.start(folder.file(name + ".json"), clockOffMs).onSuccess(ready -> {
+            front.ready(name);
+            process.ended().onSuccess(code -> gone(name, code));
+        });
+    }
+
+    private void gone(String name, int code) {
+        front.gone(now(), name);
+        if (!sentAway.getOrDefault(name, false)) {
+            crashed.add(name + " ended by itself with exit code " + code + " at " + String.format(Locale.ROOT,
+                    "%.1f s", atS()));
+        }
+    }
+
+    // ---- Load ----
+
+    private Future<Void> load() {
+        firstMs = now() + 100;
+        cpuAtFirst = cpuMs();
+        progress.accept(plan.asks().size() + " scans in " + script.lengthS() + " s, " + plan.faults().size() + " faults");
+        Promise<Void> over = Promise.promise();
+        double longest = script.tableTypes().stream().mapToDouble(Script.Kind::timeoutMs).max().orElse(0);
+        long timer = vertx.setPeriodic(LOOK_MS, id -> lateness());
+        vertx.setPeriodic(1000, id -> {
+            if (over.future().isComplete()) {
+                vertx.cancelTimer(id);
+            } else {
+                progress.accept(line());
+            }
+        });
+        vertx.setPeriodic(1, id -> {
+            askDue();
+            carryOutDue();
+            boolean past = atS() * 1000 > script.lengthS() * 1000 + longest + AFTER_MS;
+            if (past || nextAsk == plan.asks().size() && clients.open() == 0 && atS() >= script.lengthS()) {
+                vertx.cancelTimer(id);
+                vertx.cancelTimer(timer);
+                over.tryComplete();
+            }
+        });
+        return over.future();
+    }
+
+    private void lateness() {
+        double now = now();
+        if (!Double.isNaN(lookedAt)) {
+            loopLate.recordValue(Math.max(0, Math.round(1000 * (now - lookedAt - LOOK_MS))));
+        }
+        lookedAt = now;
+    }
+
+    private String line() {
+        long done = outcomes.stream().filter(Outcome::inTime).count();
+        return String.format(Locale.ROOT, "%5.1f s  %d asked, %d ended, %d in time, %d connections", atS(), nextAsk,
+                outcomes.size(), done, wires.count());
+    }
+
+    private void askDue() {
+        while (nextAsk < plan.asks().size() && firstMs + plan.asks().get(nextAsk).atMs() <= now()) {
+            Plan.Ask ask = plan.asks().get(nextAsk++);
+            clients.ask(ask, firstMs + ask.atMs());
+        }
+    }
+
+    private void ended(Plan.Ask ask, double atMs, Clients.End end, double sentLateMs) {
+        outcomes.add(Ends.of(script, ask, firstMs, atMs, end, sentLateMs));
+    }
+
+    private void outs(String gatherer, int more) {
+        int now = out.merge(gatherer, more, Integer::sum);
+        if (more > 0 && board.counts() && firstMs > 0) {
+            board.out(atS(), gatherer, now);
+        }
+    }
+
+    // ---- Faults ----
+
+    private void carryOutDue() {
+        if (board.nextS() <= atS()) {
+            board.at(atS()).forEach(this::carryOut);
+        }
+    }
+
+    private void carryOut(FaultBoard.Change change) {
+        Plan.Befall fault = change.what();
+        progress.accept(String.format(Locale.ROOT, "%5.1f s  %s %s: %s", atS(), fault.fault().name(),
+                change.begins() ? "begins" : "ends", String.join(" ", fault.of())));
+        if (change.begins()) {
+            began.put(fault, atS());
+        } else {
+            over(fault);
+        }
+        switch (fault.fault().kind().whom()) {
+            case GATHERER -> fault.of().forEach(name -> gatherer(name, change));
+            case LINK -> {
+                wires.change(change);
+                servers.forEach(ServerHost::linksChanged);
+            }
+            case SERVER -> fault.of().forEach(name -> server(name, change));
+            case DISCOVERY -> fault.of().forEach(name -> agents.get(name).change(change.begins(), fault));
+            default -> throw new IllegalStateException("nobody carries out " + fault);
+        }
+    }
+
+    private void over(Plan.Befall fault) {
+        Double from = began.remove(fault);
+        if (from != null) {
+            spans.add(new RunFolder.Span(fault.fault().name(), fault.fault().kind(), fault.of(), from, atS()));
+        }
+    }
+
+    private void gatherer(String name, FaultBoard.Change change) {
+        GathererProcess process = gatherers.get(name);
+        Fault fault = change.what().fault();
+        boolean again = fault.forS() < Double.POSITIVE_INFINITY;
+        switch (fault.kind()) {
+            case KILL -> {
+                if (change.begins()) {
+                    kill(name);
+                } else {
+                    startAgain(name, 0);
+                }
+            }
+            case TERM -> {
+                if (change.begins() && process.alive()) {
+                    sentAway.put(name, true);
+                    front.gone(now(), name);
+                    process.signal("TERM");
+                    if (again) {
+                        process.ended().onComplete(code -> vertx.setTimer(Math.max(1, (long) (1000 * fault.forS())),
+                                waited -> startAgain(name, 0)));
+                    }
+                }
+            }
+            case PAUSE -> {
+                if (change.begins()) {
+                    heldSince.putIfAbsent(name, now());
+                    process.signal("STOP");
+                } else {
+                    process.signal("CONT").onComplete(awake -> goesOn(name));
+                }
+            }
+            case CLOCK_OFF -> {
+                if (change.begins() && atS() > 0.05) {
+                    kill(name).onComplete(gone -> startAgain(name, fault.amount()));
+                } else if (!change.begins()) {
+                    kill(name).onComplete(gone -> startAgain(name, 0));
+                }
+            }
+            default -> throw new IllegalStateException(fault.kind() + " befalls no gatherer");
+        }
+    }
+
+    private Future<Integer> kill(String name) {
+        GathererProcess process = gatherers.get(name);
+        sentAway.put(name, true);
+        double since = now();
+        return process.signal("KILL").compose(sent -> process.ended()).onComplete(gone -> {
+            front.gone(now(), name);
+            out.put(name, 0);
+            ledger.add(new Seen.HeldUp(since, now(), name, true));
+        });
+    }
+
+    private void goesOn(String name) {
+        Double since = heldSince.remove(name);
+        if (since != null) {
+            ledger.add(new Seen.HeldUp(since, now(), name, false));
+        }
+    }
+
+    private void startAgain(String name, double clockOffMs) {
+        if (!ending && !gatherers.get(name).alive()) {
+            start(name, clockOffMs).onFailure(why -> crashed.add(why.getMessage()));
+        }
+    }
+
+    private void server(String name, FaultBoard.Change change) {
+        ServerHost host = servers.get(server(name));
+        host.change(change.begins(), change.what());
+        ServerList.Entry entry = list.entry(name);
+        switch (change.what().fault().kind()) {
+            case DRAIN -> list.change(now(), entry(entry, change.begins() ? ServerList.Status.LEAVING
+                    : ServerList.Status.ACTIVE, entry.sinceMs(), entry.life()));
+            case DIE -> {
+                if (change.begins()) {
+                    died(name);
+                } else {
+                    isBack(name);
+                }
+            }
+            default -> { }
+        }
+    }
+
+    private static ServerList.Entry entry(ServerList.Entry entry, ServerList.Status status, double sinceMs, int life) {
+        return new ServerList.Entry(entry.name(), entry.site(), entry.cell(), status, sinceMs, life);
+    }
+
+    private void died(String name) {
+        int life = servers.get(server(name)).life();
+        vertx.setTimer(DEATH_KNOWN_MS, known -> {
+            ServerList.Entry entry = list.entry(name);
+            if (entry.life() == life && servers.get(server(name)).life() == life) {
+                list.change(now(), entry(entry, ServerList.Status.LEFT, entry.sinceMs(), life));
+            }
+        });
+    }
+
+    private void isBack(String name) {
+        list.change(now(), entry(list.entry(name), ServerList.Status.ACTIVE, now(), servers.get(server(name)).life()));
+    }
+
+    /** As its supervisor would: it is started again two seconds after it fell over. */
+    private void fellOver(String name) {
+        died(name);
+        vertx.setTimer(2000, waited -> {
+            servers.get(server(name)).comeBack();
+            isBack(name);
+        });
+    }
+
+    // ---- End ----
+
+    private Future<Void> end() {
+        ending = true;
+        progress.accept(line());
+        board.inForce().forEach(fault -> {
+            if (fault.fault().kind().whom() == Fault.Whom.LINK) {
+                wires.change(new FaultBoard.Change(atS(), false, fault));
+            }
+            over(fault);
+        });
+        List.copyOf(heldSince.keySet()).forEach(this::goesOn);
+        gatherers.keySet().forEach(name -> sentAway.put(name, true));
+        return Future.all(gatherers.entrySet().stream().map(one -> one.getValue().end(END_WITHIN_MS).onSuccess(itself -> {
+            if (!itself) {
+                crashed.add(one.getKey() + " did not end within " + END_WITHIN_MS / 1000 + " s of SIGTERM and was killed");
+            }
+        })).toList()).mapEmpty();
+    }
+
+    @Override
+    public void close() throws IOException {
+        guardian.close();
+        try {
+            var closed = new CompletableFuture<Void>();
+            vertx.runOnContext(none -> {
+                clients.close();
+                var all = new ArrayList<Future<?>>();
+                servers.forEach(server -> all.add(server.close()));
+                agents.values().forEach(agent -> all.add(agent.close()));
+                Future.join(all).onComplete(done -> closed.complete(null));
+            });
+            closed.join();
+            vertx.close().toCompletionStage().toCompletableFuture().join();
+        } finally {
+            addresses.close();
+        }
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/sprucehold/rig/run/RunFolder.java
@@ -0,0 +1,98 @@
+package sprucehold.rig.run;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import sprucehold.rig.plan.Plan;
+import sprucehold.rig.plan.Planner;
+import sprucehold.rig.script.Fault;
+import sprucehold.rig.script.Script;
+import sprucehold.rig.script.ScriptReader;
+import sprucehold.rig.script.ScriptWriter;
+import sprucehold.rig.verdict.Figures;
+import sprucehold.rig.verdict.Judge;
+import sprucehold.rig.verdict.LedgerFile;
+import sprucehold.rig.verdict.Outcome;
+import sprucehold.rig.verdict.Verdict;
+import sprucehold.standin.ledger.Seen;
+
+/** What is kept of a run: script, plan, ledger, outcomes, verdict, and a log of each gatherer. */
+public final class RunFolder {
+    private static final ObjectMapper JSON = JsonMapper.builder().enable(SerializationFeature.INDENT_OUTPUT).build();
+
+    /**
+     * What was seen of a run.
+     *
+     * @param seed of its plan
+     * @param faults when each really began and ended, in seconds from the first scan
+     * @param crashed gatherers that ended by themselves, in words
+     */
+    public record Kept(long seed, List<Span> faults, List<Outcome> outcomes, Figures.Self self, List<String> crashed) {
+    }
+
+    /** When a fault was in force, in seconds from the first scan. */
+    public record Span(String fault, Fault.Kind kind, List<String> of, double fromS, double toS) {
+    }
+
+    private final Path folder;
+
+    public RunFolder(Path folder) {
+        this.folder = folder;
+    }
+
+    /** Makes it. @throws IOException if it holds a run already */
+    public static RunFolder make(Path folder) throws IOException {
+        if (Files.exists(folder.resolve("run.json"))) {
+            throw new IOException(folder + ": holds a run; another folder was expected");
+        }
+        Files.createDirectories(folder);
+        return new RunFolder(folder);
+    }
+
+    Path file(String name) {
+        return folder.resolve(name);
+    }
+
+    public Path folder() {
+        return folder;
+    }
+
+    void writePlan(Script script, Plan plan) throws IOException {
+        Files.writeString(file("script.json"), ScriptWriter.json(script));
+        Files.write(file("plan.json"), Planner.json(plan));
+    }
+
+    Verdict write(Kept kept, List<Seen> seen) throws IOException {
+        LedgerFile.write(file("ledger.jsonl"), seen);
+        JSON.writeValue(file("run.json").toFile(), kept);
+        Verdict verdict = Judge.judge(script(), seen, kept.outcomes, kept.self, kept.crashed);
+        JSON.writeValue(file("verdict.json").toFile(), verdict);
+        return verdict;
+    }
+
+    /** @throws IOException with what is missing or can't be read */
+    public Kept kept() throws IOException {
+        if (!Files.isRegularFile(file("run.json"))) {
+            throw new IOException(folder + ": no run is kept here: run.json was expected");
+        }
+        return JSON.readValue(file("run.json").toFile(), Kept.class);
+    }
+
+    public Script script() throws IOException {
+        return ScriptReader.read(file("script.json"));
+    }
+
+    public List<Seen> seen() throws IOException {
+        return LedgerFile.read(file("ledger.jsonl"));
+    }
+
+    /** Judges the kept ledgers again. */
+    public Verdict judge() throws IOException {
+        Kept kept = kept();
+        return Judge.judge(script(), seen(), kept.outcomes, kept.self, kept.crashed);
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/sprucehold/rig/server/ServerHost.java
@@ -0,0 +1,267 @@
+package sprucehold.rig.server;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetServer;
+import io.vertx.core.net.NetServerOptions;
+import io.vertx.core.net.NetSocket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BiConsumer;
+import java.util.function.DoubleSupplier;
+import sprucehold.rig.link.ShapedSocket;
+import sprucehold.rig.link.Wires;
+import sprucehold.rig.plan.Addresses;
+import sprucehold.rig.plan.Plan;
+import sprucehold.rig.script.Fault;
+import sprucehold.rig.script.Script;
+import sprucehold.standin.ledger.Ledger;
+import sprucehold.standin.ledger.Seen;
+
+/** One scripted shard server on sockets: an address for each gatherer, and what it saw in the ledger. */
+public final class ServerHost {
+    private final Vertx vertx;
+    private final Wires wires;
+    private final DoubleSupplier clock;
+    private final Ledger ledger;
+    private final Addresses addresses;
+    private final Script script;
+    private final Plan.Server server;
+    private final int number;
+    private final List<String> gatherers;
+    private final BiConsumer<String, Integer> out;
+    private final Map<Integer, NetServer> listeners = new HashMap<>();
+    private final Set<Connection> connections = new LinkedHashSet<>();
+    private final List<Plan.Befall> faults = new ArrayList<>();
+    private final Runnable fellOver;
+    private ServerModel model;
+    private boolean alive = true;
+    private int life;
+    private long timer = -1;
+    private double timerAt = Double.POSITIVE_INFINITY;
+
+    /**
+     * @param number its place in the plan
+     * @param out is told how many dispatches of a gatherer came or ended: 1 or -1
+     * @param fellOver is called when it was pushed over
+     */
+    public ServerHost(Vertx vertx, Wires wires, DoubleSupplier clock, Ledger ledger, Addresses addresses, Script script,
+            Plan plan, int number, BiConsumer<String, Integer> out, Runnable fellOver) {
+        this.vertx = vertx;
+        this.wires = wires;
+        this.clock = clock;
+        this.ledger = ledger;
+        this.addresses = addresses;
+        this.script = script;
+        this.server = plan.servers().get(number);
+        this.number = number;
+        this.gatherers = plan.gatherers().stream().map(Plan.Gatherer::name).toList();
+        this.out = out;
+        this.fellOver = fellOver;
+        this.model = new ServerModel(server.name(), script, server.seed(), 0);
+    }
+
+    /** Succeeds once it listens wherever the links let it. */
+    public Future<Void> listen() {
+        var all = new ArrayList<Future<?>>();
+        for (int i = 0; i < gatherers.size(); i++) {
+            if (alive && !listeners.containsKey(i)
+                    && wires.board().of(gatherers.get(i), server.name()).cut() != Fault.Mode.REFUSED) {
+                String gatherer = gatherers.get(i);
+                NetServer listener = vertx.createNetServer(new NetServerOptions().setTcpNoDelay(true))
+                        .connectHandler(socket -> accepted(socket, gatherer));
+                listeners.put(i, listener);
+                all.add(listener.listen(addresses.serverPort(life), addresses.server(i, number)));
+            }
+        }
+        return Future.all(all).mapEmpty();
+    }
+
+    /** The links have changed: where connections are refused it listens no more. */
+    public void linksChanged() {
+        for (int i = 0; i < gatherers.size(); i++) {
+            if (listeners.containsKey(i) && wires.board().of(gatherers.get(i), server.name()).cut() == Fault.Mode.REFUSED) {
+                listeners.remove(i).close();
+            }
+        }
+        listen();
+    }
+
+    /** A fault of servers begins or ends. */
+    public void change(boolean begins, Plan.Befall fault) {
+        if (fault.fault().kind() == Fault.Kind.DIE) {
+            if (begins) {
+                die();
+            } else {
+                comeBack();
+            }
+            return;
+        }
+        if (begins) {
+            faults.add(fault);
+        } else {
+            faults.remove(fault);
+        }
+        carryOut(model.change(clock.getAsDouble(), begins, fault));
+    }
+
+    /** Dies: its connections are reset and nobody listens. */
+    public void die() {
+        alive = false;
+        model.dies();
+        listeners.values().forEach(NetServer::close);
+        listeners.clear();
+        List.copyOf(connections).forEach(connection -> connection.socket.reset());
+    }
+
+    /** Comes back cold, at another address. */
+    public void comeBack() {
+        alive = true;
+        life++;
+        model = new ServerModel(server.name(), script, server.seed() + life, clock.getAsDouble());
+        faults.forEach(fault -> model.change(clock.getAsDouble(), true, fault));
+        listen();
+    }
+
+    public int life() {
+        return life;
+    }
+
+    public int connections() {
+        return connections.size();
+    }
+
+    public Future<Void> close() {
+        var all = new ArrayList<Future<?>>();
+        listeners.values().forEach(listener -> all.add(listener.close()));
+        List.copyOf(connections).forEach(connection -> connection.socket.reset());
+        return Future.join(all).mapEmpty();
+    }
+
+    private void accepted(NetSocket socket, String gatherer) {
+        if (!alive || connections.size() >= script.servers().connectionsMost()) {
+            socket.close();
+            return;
+        }
+        var connection = new Connection(gatherer);
+        connections.add(connection);
+        connection.socket = wires.shape(socket, gatherer, server.name(), connection);
+    }
+
+    private final class Connection implements ShapedSocket.Owner {
+        private final String gatherer;
+        private ShapedSocket socket;
+        private Buffer read = Buffer.buffer();
+        private int outs;
+
+        Connection(String gatherer) {
+            this.gatherer = gatherer;
+        }
+
+        @Override
+        public void received(Buffer bytes, double readMs) {
+            read.appendBuffer(bytes);
+            int at = 0;
+            while (read.length() - at >= 4 && read.length() - at >= 4 + read.getIntLE(at)) {
+                int length = read.getIntLE(at);
+                frame(read.getBytes(at + 4, at + 4 + length), readMs);
+                at += 4 + length;
+            }
+            read = at == read.length() ? Buffer.buffer() : read.getBuffer(at, read.length());
+        }
+
+        @Override
+        public void closed() {
+            connections.remove(this);
+            model.closed(this);
+            out.accept(gatherer, -outs);
+            outs = 0;
+        }
+
+        private void frame(byte[] frame, double readMs) {
+            String text = new String(frame, 1, frame.length - 1, StandardCharsets.UTF_8);
+            switch (frame[0]) {
+                case 'A' -> parts(text, readMs);
+                case 'B' -> {
+                    model.gaveUp(this, text);
+                    ended();
+                }
+                case 'C' -> send("Chit");
+                case 'D' -> send("D-");
+                default -> {
+                    send("Funknown letter");
+                    socket.close();
+                }
+            }
+        }
+
+        private void parts(String text, double readMs) {
+            int at = 0;
+            while (at < text.length()) {
+                int lineEnd = text.indexOf('\n', at);
+                String[] line = text.substring(at, lineEnd).split(" ");
+                int textEnd = lineEnd + 1 + Integer.parseInt(line[3]);
+                String body = text.substring(lineEnd + 1, textEnd);
+                String scan = line[0].substring(0, line[0].lastIndexOf('.'));
+                int segment = Integer.parseInt(line[1]);
+                ledger.add(new Seen.Arrived(readMs, gatherer, server.name(), scan, segment));
+                outs++;
+                out.accept(gatherer, 1);
+                carryOut(model.arrives(clock.getAsDouble(), new ServerModel.Arrival(this, gatherer, line[0], scan, segment,
+                        body.substring(0, Math.max(0, body.lastIndexOf('.'))), Double.parseDouble(line[2].substring(2)))));
+                at = textEnd;
+            }
+        }
+
+        private void ended() {
+            if (outs > 0) {
+                outs--;
+                out.accept(gatherer, -1);
+            }
+        }
+
+        void send(String frame) {
+            byte[] bytes = frame.getBytes(StandardCharsets.UTF_8);
+            socket.write(Buffer.buffer(4 + bytes.length).appendIntLE(bytes.length).appendBytes(bytes));
+        }
+    }
+
+    private void carryOut(List<ServerModel.Act> acts) {
+        for (ServerModel.Act act : acts) {
+            if (act instanceof ServerModel.Act.Ran ran) {
+                ledger.add(new Seen.Ran(ran.atMs(), server.name(), ran.part().scan(), ran.part().segment(), ran.value()));
+            } else if (act instanceof ServerModel.Act.Reply reply) {
+                var to = (Connection) reply.to().link();
+                to.ended();
+                to.send("E" + reply.to().partId() + " " + reply.end() + " 0 -\n" + reply.value());
+            } else if (act instanceof ServerModel.Act.Lost lost && lost.reset()) {
+                ((Connection) lost.part().link()).socket.reset();
+            } else if (act instanceof ServerModel.Act.FellOver fell) {
+                ledger.add(new Seen.FellOver(fell.atMs(), server.name(), fell.workByGatherer()));
+                die();
+                fellOver.run();
+            }
+        }
+        arm();
+    }
+
+    private void arm() {
+        double at = alive ? model.nextMs() : Double.POSITIVE_INFINITY;
+        if (at != timerAt) {
+            vertx.cancelTimer(timer);
+            timerAt = at;
+            if (at < Double.POSITIVE_INFINITY) {
+                timer = vertx.setTimer(Math.max(1, (long) Math.ceil(at - clock.getAsDouble())), id -> {
+                    timerAt = Double.POSITIVE_INFINITY;
+                    carryOut(model.pass(clock.getAsDouble()));
+                });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/rig/src/test/java/sprucehold/rig/CrookedGatherer.java
@@ -0,0 +1,206 @@
+package sprucehold.rig;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * A gatherer of a few lines that breaks one rule on purpose, in a process of its own. Arguments: which rule, {@code
+ * --config}, the file.
+ */
+public final class CrookedGatherer {
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    /** How it is crooked. */
+    enum Way { SOUND, LEAVES_UNANSWERED, SENDS_AFTER_THE_ANSWER, RUNS_TWICE, IGNORES_DRAINS, LIES, CALLS_A_PART_WHOLE, SPENDS }
+
+    private record Server(String name, int cell, String host, int port) {
+    }
+
+    private record Reply(boolean hit, boolean maybeRan, String value) {
+    }
+
+    private final Way way;
+    private final JsonNode config;
+    private final Map<String, Server> servers = new ConcurrentHashMap<>();
+    private final AtomicInteger taken = new AtomicInteger();
+
+    private CrookedGatherer(Way way, JsonNode config) {
+        this.way = way;
+        this.config = config;
+    }
+
+    public static void main(String[] args) throws Exception {
+        if (args[0].equals("WONT_START")) {
+            System.err.println("out of luck");
+            System.exit(7);
+        }
+        if (args[0].equals("WONT_END")) {
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+                while (true) {
+                    Thread.onSpinWait();
+                }
+            }));
+        }
+        if (args[0].equals("FLOODS_ITS_LOG")) {
+            var line = "x".repeat(1 << 20);
+            new Thread(() -> {
+                for (int i = 0; i < 80; i++) {
+                    System.out.println(line);
+                }
+            }).start();
+        }
+        Way way = List.of("WONT_END", "FLOODS_ITS_LOG").contains(args[0]) ? Way.SOUND : Way.valueOf(args[0]);
+        new CrookedGatherer(way, JSON.readTree(Path.of(args[2]).toFile())).serve();
+    }
+
+    private void serve() throws IOException {
+        listed(config.get("known"));
+        String[] at = config.get("listen").asText().split(":");
+        HttpServer server = HttpServer.create(new InetSocketAddress(at[0], Integer.parseInt(at[1])), 100);
+        server.setExecutor(Executors.newCachedThreadPool());
+        server.createContext("/", this::answer);
+        server.start();
+        var follower = new Thread(this::follow);
+        follower.setDaemon(true);
+        follower.start();
+    }
+
+    private void listed(JsonNode news) {
+        if (news.path("snapshot").booleanValue()) {
+            servers.clear();
+        }
+        for (JsonNode entry : news.path("endpoints")) {
+            String[] at = entry.get("address").asText().split(":");
+            String name = entry.get("name").asText();
+            if (entry.get("status").asText().equals("active")) {
+                servers.put(name, new Server(name, entry.get("group").intValue(), at[0], Integer.parseInt(at[1])));
+            } else if (way != Way.IGNORES_DRAINS) {
+                servers.remove(name);
+            }
+        }
+    }
+
+    private void follow() {
+        HttpClient client = HttpClient.newHttpClient();
+        long index = config.get("known").get("index").longValue();
+        while (true) {
+            try {
+                var call = HttpRequest.newBuilder(URI.create("http://" + config.get("discovery").asText()
+                        + "/discovery/hosts?wait_ms=10000&after=" + index)).build();
+                JsonNode news = JSON.readTree(client.send(call, HttpResponse.BodyHandlers.ofString()).body());
+                listed(news);
+                index = news.get("index").longValue();
+            } catch (IOException | InterruptedException e) {
+                return;
+            }
+        }
+    }
+
+    private void answer(HttpExchange exchange) throws IOException {
+        if (exchange.getRequestURI().getPath().equals("/up")) {
+            send(exchange, 200, "up");
+            return;
+        }
+        int number = taken.incrementAndGet();
+        String id = exchange.getRequestHeaders().getFirst("X-Request-Id");
+        String type = exchange.getRequestHeaders().getFirst("X-Class");
+        JsonNode body = JSON.readTree(exchange.getRequestBody());
+        if (way == Way.LEAVES_UNANSWERED && number % 5 == 0) {
+            exchange.close();
+            return;
+        }
+        var found = new ArrayList<Map<String, Object>>();
+        boolean ran = false;
+        for (JsonNode bucket : body.get("buckets")) {
+            int segment = bucket.get("bucket").intValue();
+            List<Server> holders = servers.values().stream()
+                    .filter(server -> server.cell() == segment % config.at("/settings/familyInfo/sets").intValue())
+                    .sorted((one, other) -> one.name().compareTo(other.name())).toList();
+            if (holders.isEmpty()) {
+                continue;
+            }
+            Server first = holders.get(number % holders.size());
+            Reply reply = call(first, id, segment, body.get("body").asText());
+            ran |= reply.maybeRan();
+            boolean again = way == Way.RUNS_TWICE && type.equals("stamps") || way == Way.SPENDS && type.equals("offers");
+            if (again && holders.size() > 1) {
+                call(holders.get((number + 1) % holders.size()), id, segment, body.get("body").asText());
+            }
+            if (reply.hit() && !(way == Way.CALLS_A_PART_WHOLE && found.size() == 3)) {
+                found.add(Map.of("bucket", segment, "item", way == Way.LIES ? "made up" : reply.value()));
+            }
+        }
+        int parts = body.get("buckets").size();
+        boolean whole = found.size() == parts || way == Way.CALLS_A_PART_WHOLE && !found.isEmpty();
+        if (whole) {
+            send(exchange, 200, JSON.writeValueAsString(Map.of("finished", true, "found", found)));
+        } else {
+            send(exchange, ran && type.equals("stamps") ? 502 : 503, "no");
+        }
+        if (way == Way.SENDS_AFTER_THE_ANSWER && whole && type.equals("offers") && !servers.isEmpty()) {
+            pause();
+            int segment = body.get("buckets").get(0).get("bucket").intValue();
+            call(servers.values().iterator().next(), id, segment, body.get("body").asText());
+        }
+    }
+
+    /** Longer than what was written before an answer may be on its way. */
+    private static void pause() {
+        try {
+            Thread.sleep(400);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static void send(HttpExchange exchange, int status, String text) throws IOException {
+        byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+        exchange.sendResponseHeaders(status, bytes.length);
+        try (OutputStream out = exchange.getResponseBody()) {
+            out.write(bytes);
+        }
+    }
+
+    private static Reply call(Server server, String id, int segment, String text) {
+        boolean written = false;
+        try (var socket = new Socket(server.host(), server.port())) {
+            socket.setSoTimeout(1000);
+            byte[] frame = ("A" + id + "." + segment + " " + segment + " d=1000 " + text.length() + "\n" + text)
+                    .getBytes(StandardCharsets.UTF_8);
+            var out = new byte[4 + frame.length];
+            for (int i = 0; i < 4; i++) {
+                out[i] = (byte) (frame.length >> 8 * i);
+            }
+            System.arraycopy(frame, 0, out, 4, frame.length);
+            socket.getOutputStream().write(out);
+            written = true;
+            var in = new DataInputStream(socket.getInputStream());
+            var answer = new byte[Integer.reverseBytes(in.readInt())];
+            in.readFully(answer);
+            String line = new String(answer, StandardCharsets.UTF_8);
+            String[] head = line.substring(0, line.indexOf('\n')).split(" ");
+            return new Reply(head[1].equals("hit"), !head[1].equals("overload"), line.substring(line.indexOf('\n') + 1));
+        } catch (IOException e) {
+            return new Reply(false, written, "");
+        }
+    }
+}
--- /dev/null
+++ b/rig/src/test/java/sprucehold/rig/FaultsTest.java
@@ -0,0 +1,170 @@
+package sprucehold.rig;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import org.apache.commons.rng.simple.RandomSource;
+import org.testng.annotations.Test;
+import sprucehold.rig.fault.FaultBoard;
+import sprucehold.rig.fault.LinkBoard;
+import sprucehold.rig.fault.Treatment;
+import sprucehold.rig.link.Shaper;
+import sprucehold.rig.plan.Plan;
+import sprucehold.rig.script.Fault;
+import sprucehold.rig.shrink.Shrinker;
+
+/** When faults begin and end, and what they come to on a link. */
+public class FaultsTest {
+    private static final double NEVER = Double.POSITIVE_INFINITY;
+
+    private static List<String> words(List<FaultBoard.Change> changes) {
+        return changes.stream().map(change -> change.what().fault().name() + (change.begins() ? " begins" : " ends")).toList();
+    }
+
+    private static Plan.Befall when(String name, Fault.Trigger trigger, double after, double lasts) {
+        return new Plan.Befall(new Fault(name, Fault.Kind.PAUSE, List.of("g"), List.of(), 0, after, trigger, lasts, 0,
+                Fault.Mode.SILENT, false, List.of()), List.of("g"), List.of());
+    }
+
+    @Test
+    public void faultsBeginAndEndInTheOrderOfTheirTimesHoweverLateTheyAreLookedAt() {
+        var board = new FaultBoard(List.of(Scripts.befall(Scripts.fault("a", Fault.Kind.STALL, 1, 2, 0), "s"),
+                Scripts.befall(Scripts.fault("b", Fault.Kind.FULL, 2, 0.5, 0), "s"),
+                when("c", new Fault.Trigger("b", "", 0), 0.25, NEVER),
+                when("d", new Fault.Trigger("", "g", 3), 1, 1)));
+        assertEquals(words(board.at(0.9)), List.of());
+        assertEquals(board.nextS(), 1.0);
+        assertEquals(words(board.at(10)), List.of("a begins", "b begins", "c begins", "b ends", "a ends"));
+        assertTrue(board.counts());
+        board.out(11, "h", 9);
+        board.out(11, "g", 2);
+        assertEquals(board.nextS(), NEVER);
+        board.out(12, "g", 3);
+        board.out(12, "g", 4);
+        assertFalse(board.counts());
+        assertEquals(words(board.at(20)), List.of("d begins", "d ends"));
+        assertEquals(board.inForce().size(), 1);
+    }
+
+    private static FaultBoard.Change change(boolean begins, Plan.Befall fault) {
+        return new FaultBoard.Change(0, begins, fault);
+    }
+
+    private static Plan.Befall link(Fault.Kind kind, double amount, Fault.Mode mode, boolean oneWay) {
+        return new Plan.Befall(new Fault(kind + " " + amount + mode, kind, List.of(), List.of(), 0, 0, null, 1, amount, mode, oneWay,
+                List.of()), List.of("g"), List.of("s"));
+    }
+
+    @Test
+    public void faultsOnALinkAddUpAndOnesOfOneWayLeaveTheOther() {
+        var board = new LinkBoard();
+        var slow = link(Fault.Kind.DELAY, 30, Fault.Mode.SILENT, false);
+        board.change(change(true, slow));
+        board.change(change(true, link(Fault.Kind.DELAY, 12, Fault.Mode.SILENT, true)));
+        board.change(change(true, link(Fault.Kind.CUT, 0, Fault.Mode.RESET, true)));
+        board.change(change(true, link(Fault.Kind.CUT, 0, Fault.Mode.SILENT, true)));
+        assertEquals(board.of("g", "s").delayMs(), 42.0);
+        assertEquals(board.of("g", "s").cut(), Fault.Mode.RESET);
+        assertEquals(board.of("s", "g"), new Treatment(30, NEVER, NEVER, null, false, 0, 0, 0));
+        assertEquals(board.of("g", "t"), Treatment.SOUND);
+        board.change(change(false, slow));
+        assertEquals(board.of("s", "g"), Treatment.SOUND);
+        assertTrue(board.hurt("s", "g"));
+    }
+
+    private static Shaper<Integer> shaper(LinkBoard board) {
+        return new Shaper<>(board, "g", "s", RandomSource.SPLIT_MIX_64.create(1));
+    }
+
+    @Test
+    public void whatIsPushedComesInOrderAndNoSoonerThanTheLinkLetsIt() {
+        var board = new LinkBoard();
+        var slow = link(Fault.Kind.DELAY, 20, Fault.Mode.SILENT, true);
+        var narrow = link(Fault.Kind.RATE, 1000, Fault.Mode.SILENT, true);
+        board.change(change(true, slow));
+        var shaper = shaper(board);
+        for (int i = 0; i < 100; i++) {
+            shaper.push(i, 10, i);
+        }
+        var came = new ArrayList<Integer>();
+        for (double now = 0; now < 300; now++) {
+            for (int one : shaper.due(now)) {
+                assertTrue(now >= one + 20, one + " at " + now);
+                came.add(one);
+            }
+        }
+        assertEquals(came.size(), 100);
+        assertEquals(came, came.stream().sorted().toList());
+        board.change(change(false, slow));
+        board.change(change(true, narrow));
+        shaper.push(1000, 500, 1);
+        shaper.push(1000, 500, 2);
+        assertEquals(shaper.due(1499), List.of());
+        assertEquals(shaper.due(1500), List.of(1));
+        assertEquals(shaper.due(2000), List.of(2));
+    }
+
+    @Test
+    public void aCutHoldsBackUntilItIsMendedAndAHalfOpenLinkForGood() {
+        var board = new LinkBoard();
+        var cut = link(Fault.Kind.CUT, 0, Fault.Mode.SILENT, true);
+        var half = link(Fault.Kind.HALF_OPEN, 0, Fault.Mode.SILENT, true);
+        var shaper = shaper(board);
+        board.change(change(true, cut));
+        shaper.push(1, 10, 1);
+        assertEquals(shaper.due(1000), List.of());
+        assertEquals(shaper.nextMs(), NEVER);
+        board.change(change(false, cut));
+        assertEquals(shaper.due(1001), List.of(1));
+        board.change(change(true, half));
+        var dead = shaper(board);
+        board.change(change(false, half));
+        dead.push(1, 10, 1);
+        assertEquals(dead.due(1e9), List.of());
+    }
+
+    @Test
+    public void aConnectionBreaksAfterItsNthByte() {
+        var board = new LinkBoard();
+        board.change(change(true, link(Fault.Kind.CUT_AFTER, 25, Fault.Mode.SILENT, true)));
+        var shaper = shaper(board);
+        for (int i = 0; i < 4; i++) {
+            shaper.push(0, 10, i);
+        }
+        assertEquals(shaper.due(1), List.of(0, 1, 2));
+        assertTrue(shaper.broken());
+    }
+
+    /** Against every pair of faults as the cause, in shuffled scripts: what is left is the cause and nothing else. */
+    @Test
+    public void shrinkingLeavesTheCauseAlone() throws IOException {
+        var chance = new Random(5);
+        for (int trial = 0; trial < 200; trial++) {
+            var faults = new ArrayList<Fault>();
+            for (int i = 0; i < 8; i++) {
+                faults.add(Scripts.fault("f" + i, Fault.Kind.FULL, i, 1 + chance.nextInt(5), 0));
+            }
+            Collections.shuffle(faults, chance);
+            String one = "f" + chance.nextInt(8);
+            String other = "f" + chance.nextInt(8);
+            var left = Shrinker.shrink(faults, with -> with.stream().anyMatch(fault -> fault.name().equals(one))
+                    && with.stream().anyMatch(fault -> fault.name().equals(other)));
+            assertEquals(left.stream().map(Fault::name).sorted().toList(), List.of(one, other).stream().distinct().sorted().toList());
+        }
+    }
+
+    @Test
+    public void aFaultThatAnotherWaitsForIsNotDroppedAlone() throws IOException {
+        var cause = Scripts.fault("cause", Fault.Kind.FULL, 0, 1, 0);
+        var effect = when("effect", new Fault.Trigger("cause", "", 0), 1, 1).fault();
+        var left = Shrinker.shrink(List.of(cause, effect),
+                with -> with.stream().anyMatch(fault -> fault.name().equals("effect")));
+        assertEquals(left, List.of(cause, effect));
+    }
+}
--- /dev/null
+++ b/rig/src/test/java/sprucehold/rig/GuardianTest.java
@@ -0,0 +1,72 @@
+package sprucehold.rig;
+
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.Test;
+import sprucehold.rig.plan.Addresses;
+import sprucehold.rig.process.Home;
+import sprucehold.rig.run.Run;
+import sprucehold.rig.run.RunFolder;
+import sprucehold.rig.script.Fault;
+import sprucehold.rig.script.Script;
+
+/** A rig that is killed in the midst leaves nothing running, and two rigs don't meet. */
+public class GuardianTest {
+    /** A rig of its own: plays a long run in which its gatherer is paused, so that it can't end by itself. */
+    public static final class Rig {
+        private Rig() {
+        }
+
+        public static void main(String[] args) throws IOException {
+            var pause = new Fault("pause", Fault.Kind.PAUSE, List.of("gatherers"), List.of(), 0, 0.2, null, 100, 0,
+                    Fault.Mode.SILENT, false, List.of());
+            Script script = Scripts.calm(100, pause);
+            var home = new Home(Path.of("").toAbsolutePath(), List.of(
+                    Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:TieredStopAtLevel=1", "-cp",
+                    System.getProperty("java.class.path"), "sprucehold.rig.CrookedGatherer", "SOUND"));
+            Run.play(script, 1, home, RunFolder.make(Path.of(args[0])), System.out::println);
+        }
+    }
+
+    @Test
+    public void nothingIsLeftRunningOfARigThatIsKilled() throws Exception {
+        Path folder = Files.createTempDirectory("rig");
+        Process rig = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
+                System.getProperty("java.class.path"), "sprucehold.rig.GuardianTest$Rig", folder.toString())
+                .redirectErrorStream(true).start();
+        try (var lines = new BufferedReader(new InputStreamReader(rig.getInputStream()))) {
+            String line = lines.readLine();
+            while (line != null && !line.contains("pause begins")) {
+                line = lines.readLine();
+            }
+            assertTrue(line != null, "the rig ended before its fault");
+            List<ProcessHandle> left = rig.descendants().toList();
+            assertTrue(left.size() >= 5, "four gatherers and a guardian were expected: " + left);
+            rig.destroyForcibly();
+            for (ProcessHandle one : left) {
+                CompletableFuture<ProcessHandle> ended = one.onExit();
+                ended.get(20, TimeUnit.SECONDS);
+                assertFalse(one.isAlive());
+            }
+        } finally {
+            rig.destroyForcibly().waitFor();
+        }
+    }
+
+    @Test
+    public void twoRigsHaveAddressesOfTheirOwn() throws IOException {
+        try (var one = Addresses.claim(); var other = Addresses.claim()) {
+            assertNotEquals(one.gatherer(0), other.gatherer(0));
+        }
+    }
+}
--- /dev/null
+++ b/rig/src/test/java/sprucehold/rig/ModelsTest.java
@@ -0,0 +1,197 @@
+package sprucehold.rig;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import org.testng.annotations.Test;
+import sprucehold.rig.list.Agent;
+import sprucehold.rig.list.ServerList;
+import sprucehold.rig.load.Front;
+import sprucehold.rig.load.Persistence;
+import sprucehold.rig.plan.Plan;
+import sprucehold.rig.script.Fault;
+import sprucehold.rig.script.Script;
+import sprucehold.rig.server.ServerModel;
+import sprucehold.rig.server.ServerModel.Act;
+
+/** Stand-ins without sockets, in virtual time. */
+public class ModelsTest {
+    private static final Object LINK = new Object();
+
+    private static ServerModel.Arrival part(int number, String gatherer, String type) {
+        return new ServerModel.Arrival(LINK, gatherer, "s" + number + ".1", "s" + number, 1, type, 1000);
+    }
+
+    private static ServerModel model(double startedMs) {
+        return new ServerModel("s-a-0-0", Scripts.shipped("calm"), 9, startedMs);
+    }
+
+    /** All that comes of a model from now on, up to a time. */
+    private static List<Act> until(ServerModel model, double ms) {
+        var acts = new ArrayList<Act>();
+        while (model.nextMs() <= ms) {
+            acts.addAll(model.pass(model.nextMs()));
+        }
+        return acts;
+    }
+
+    private static long hits(List<Act> acts) {
+        return acts.stream().filter(act -> act instanceof Act.Reply reply && reply.end().equals("hit")).count();
+    }
+
+    @Test
+    public void eachPartRunsOnceAndIsAnsweredOnce() {
+        var model = model(0);
+        var acts = new ArrayList<Act>();
+        for (int i = 0; i < 50; i++) {
+            acts.addAll(model.arrives(100, part(i, "a-0", "offers")));
+        }
+        acts.addAll(until(model, 1e6));
+        assertEquals(hits(acts), 50);
+        assertEquals(acts.stream().filter(Act.Ran.class::isInstance).count(), 50);
+        assertEquals(model.held(), 0);
+    }
+
+    @Test
+    public void whatIsGivenUpBeforeItBeginsNeverRunsAndWhatRunsHasItsEffect() {
+        var model = model(0);
+        for (int i = 0; i < 3; i++) {
+            model.arrives(100, part(i, "a-0", "offers"));
+        }
+        for (int i = 0; i < 3; i++) {
+            model.gaveUp(LINK, "s" + i + ".1");
+        }
+        var acts = until(model, 1e6);
+        // Two cores: two of them run, and nobody is told.
+        assertEquals(acts.stream().filter(Act.Ran.class::isInstance).count(), 2);
+        assertEquals(hits(acts), 0);
+    }
+
+    @Test
+    public void aColdServerIsPushedOverByTheSumOfAllAndAWarmOneByNone() {
+        // A bound that is reached before the queue is full.
+        Script script = Scripts.cold(0.5);
+        var cold = new ServerModel("s-a-0-0", script, 9, 10_000);
+        var warm = new ServerModel("s-a-0-0", script, 9, 0);
+        List<Act> acts = List.of();
+        int sent = 0;
+        while (acts.stream().noneMatch(Act.FellOver.class::isInstance) && sent < 2000) {
+            acts = cold.arrives(10_001, part(sent, sent % 2 == 0 ? "a-0" : "b-0", "offers"));
+            warm.arrives(10_001, part(sent, "a-0", "offers"));
+            sent++;
+        }
+        var fell = (Act.FellOver) acts.get(acts.size() - 1);
+        // Half of what two cores at a fifth of their speed do in a second.
+        double sum = fell.workByGatherer().values().stream().mapToDouble(work -> work).sum();
+        assertTrue(sum > 200 && sum < 300, "pushed by " + sum);
+        assertEquals(fell.workByGatherer().keySet(), Set.of("a-0", "b-0"));
+        assertEquals(cold.held(), 0);
+        assertTrue(warm.held() > 0);
+    }
+
+    private static Plan.Befall fault(Fault.Kind kind, double amount, List<String> types, String... to) {
+        return new Plan.Befall(new Fault("f", kind, List.of(), List.of(), 0, 0, null, 1, amount, Fault.Mode.SILENT, false, types),
+                List.of("s-a-0-0"), List.of(to));
+    }
+
+    @Test
+    public void faultsDoWhatTheySayAndNoMore() {
+        var model = model(0);
+        var grey = fault(Fault.Kind.GREY, 0, List.of("offers"), "b-1");
+        model.change(0, true, grey);
+        model.arrives(1, part(1, "a-0", "offers"));
+        model.arrives(1, part(2, "b-1", "stamps"));
+        model.arrives(1, part(3, "a-0", "stamps"));
+        assertEquals(hits(until(model, 1e6)), 1);
+        model.change(1000, false, grey);
+        var stall = fault(Fault.Kind.STALL, 0, List.of());
+        model.arrives(1000, part(4, "a-0", "offers"));
+        model.change(1001, true, stall);
+        assertEquals(until(model, 1e6), List.of());
+        assertEquals(hits(model.change(9000, false, stall)), 0);
+        assertEquals(hits(until(model, 1e6)), 1);
+        model.change(1e6, true, fault(Fault.Kind.DRAIN, 0, List.of()));
+        assertEquals(((Act.Reply) model.arrives(1e6, part(5, "a-0", "offers")).get(0)).end(), "overload");
+        var lost = model(0);
+        lost.change(0, true, fault(Fault.Kind.LOSE_ANSWERS, 1, List.of()));
+        lost.arrives(0, part(6, "a-0", "offers"));
+        var acts = until(lost, 1e6);
+        assertTrue(acts.get(0) instanceof Act.Ran && acts.get(1) instanceof Act.Lost, acts.toString());
+    }
+
+    private static ServerList.Entry entry(String name, ServerList.Status status, int life) {
+        return new ServerList.Entry(name, "a", 0, status, 0, life);
+    }
+
+    private static Plan.Befall list(Fault.Kind kind, double amount, String... hidden) {
+        return new Plan.Befall(new Fault("f", kind, List.of(), List.of(), 0, 0, null, 1, amount, Fault.Mode.SILENT, false, List.of()),
+                List.of("g"), List.of(hidden));
+    }
+
+    @Test
+    public void agentsTellTheListLateWronglyBackwardsOrNotAtAll() {
+        var list = new ServerList(List.of(entry("x", ServerList.Status.ACTIVE, 0), entry("y", ServerList.Status.ACTIVE, 0)));
+        var agent = new Agent(list);
+        assertEquals(agent.ask(1, -1, false).entries().size(), 2);
+        assertNull(agent.ask(1, 1, false));
+        assertEquals(agent.ask(1, 1, true).entries(), List.of());
+        var late = list(Fault.Kind.LIST_LATE, 500);
+        agent.change(true, late);
+        list.change(100, entry("x", ServerList.Status.LEAVING, 0));
+        assertNull(agent.ask(599, 1, false));
+        assertEquals(agent.ask(600, 1, false), new Agent.News(2, false, List.of(entry("x", ServerList.Status.LEAVING, 0))));
+        agent.change(false, late);
+        var back = list(Fault.Kind.LIST_BACK, 0);
+        agent.change(true, back);
+        assertEquals(agent.ask(700, 2, false), new Agent.News(1, true, List.of(entry("x", ServerList.Status.ACTIVE, 0),
+                entry("y", ServerList.Status.ACTIVE, 0))));
+        agent.change(false, back);
+        assertEquals(agent.ask(800, 1, false).index(), 2);
+        var hides = list(Fault.Kind.LIST_HIDES, 0, "y");
+        agent.change(true, hides);
+        assertEquals(agent.ask(900, 2, false).entries().size(), 1);
+        agent.change(false, hides);
+        assertEquals(agent.ask(901, 2, false).entries().size(), 2);
+        var silent = list(Fault.Kind.LIST_SILENT, 0);
+        agent.change(true, silent);
+        assertNull(agent.ask(902, -1, true));
+        assertEquals(agent.known().index(), 2);
+    }
+
+    @Test
+    public void aFrontGoesOnSendingClientsToWhoIsGoneUntilItLearns() {
+        var front = new Front(Map.of("a-0", "a", "a-1", "a", "b-0", "b"), 1000);
+        assertNull(front.next(0, "a"));
+        front.ready("a-0");
+        front.ready("b-0");
+        front.gone(5, "a-0");
+        assertEquals(front.next(1000, "a"), "a-0");
+        assertEquals(front.next(1005, "a"), "b-0");
+        assertTrue(front.knowsGone("a-0"));
+        front.ready("a-0");
+        assertEquals(front.next(2000, "a"), "a-0");
+    }
+
+    @Test
+    public void clientsAskAgainNoSoonerThanToldAndNoOftenerThanTheScriptSays() {
+        var load = new Script.Load("a", "acme", "offers", 1, 1, 0, List.of(), 3, 100, 1000);
+        var chance = new Random(3);
+        for (int seed = 0; seed < 100; seed++) {
+            var persistence = new Persistence(load, seed);
+            for (int tried = 0; tried < 3; tried++) {
+                double told = chance.nextInt(600);
+                double least = Math.max(told, 100 * Math.pow(2, tried));
+                double wait = persistence.throttled(told);
+                assertTrue(wait >= least && wait <= 1.5 * least, wait + " after " + told);
+            }
+            assertEquals(persistence.throttled(0), -1.0);
+            assertEquals(persistence.id("x"), "x-3");
+        }
+    }
+}
--- /dev/null
+++ b/rig/src/test/java/sprucehold/rig/RunTest.java
@@ -0,0 +1,144 @@
+package sprucehold.rig;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import sprucehold.port.Deployment;
+import sprucehold.rig.process.Home;
+import sprucehold.rig.report.RunPage;
+import sprucehold.rig.run.Run;
+import sprucehold.rig.run.RunFolder;
+import sprucehold.rig.script.Fault;
+import sprucehold.rig.script.Script;
+import sprucehold.rig.verdict.Verdict;
+
+/** Whole runs with real processes: gatherers as shipped, and ones that break a rule on purpose. */
+public class RunTest {
+    /** A machine that is too busy proves nothing; that it always is would show as a failure. */
+    private static final int TRIES = 3;
+
+    private Path folder;
+
+    @BeforeMethod
+    public void open() throws IOException {
+        folder = Files.createTempDirectory("rig");
+    }
+
+    @AfterMethod
+    public void close() throws IOException {
+        try (var all = Files.walk(folder)) {
+            for (Path path : all.sorted((one, other) -> other.compareTo(one)).toList()) {
+                Files.delete(path);
+            }
+        }
+    }
+
+    private Verdict play(Script script, Home home) throws IOException {
+        Verdict verdict = null;
+        for (int i = 0; i < TRIES && (verdict == null || verdict.kind() == Verdict.Kind.STARVED); i++) {
+            verdict = Run.play(script, 3, home, RunFolder.make(folder.resolve("run-" + i)), line -> { });
+        }
+        return verdict;
+    }
+
+    private static Home crooked(String way) {
+        return new Home(Path.of("").toAbsolutePath(), List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
+                "sprucehold.rig.CrookedGatherer", way));
+    }
+
+    /** One site, one gatherer, a server that drains; a budget so small that one more dispatch in ten breaks it. */
+    private static Script small(boolean budget, Fault... faults) {
+        Script calm = Scripts.calm(2);
+        return new Script("small", 2, List.of(new Script.Site("a", 1, 2)), 12, 2, calm.tableTypes(), calm.customers(),
+                calm.servers(), calm.limits(), new Deployment.ColdRule(0.2, 5000, 0.02, 1000),
+                budget ? new Deployment.DispatchBudget(1, 0.1, 1000) : Deployment.DispatchBudget.NONE, 500,
+                calm.load().stream().filter(load -> load.site().equals("a")).map(load -> new Script.Load("a",
+                        load.customer(), load.tableType(), 10, load.parts(), 0, List.of(), 0, 100, Double.POSITIVE_INFINITY))
+                        .toList(), List.of(faults), new Script.Bands(0));
+    }
+
+    private static Fault drain() {
+        return new Fault("drain", Fault.Kind.DRAIN, List.of("s-a-0-0"), List.of(), 0, 0.5, null, Double.POSITIVE_INFINITY, 0,
+                Fault.Mode.SILENT, false, List.of());
+    }
+
+    private static Fault die() {
+        return new Fault("die", Fault.Kind.DIE, List.of("s-a-0-0"), List.of(), 0, 0.2, null, 0.5, 0, Fault.Mode.SILENT, false,
+                List.of());
+    }
+
+    @DataProvider
+    Object[][] ways() {
+        return new Object[][] {
+            {"SOUND", small(true, drain()), Set.of()},
+            {"LEAVES_UNANSWERED", small(true, drain()), Set.of("ONE_ANSWER")},
+            {"SENDS_AFTER_THE_ANSWER", small(false), Set.of("ONE_ANSWER")},
+            {"RUNS_TWICE", small(false), Set.of("NO_EFFECT_TWICE")},
+            {"IGNORES_DRAINS", small(true, drain()), Set.of("DRAINS")},
+            {"SOUND", small(false, die()), Set.of("COLD")},
+            {"LIES", small(true, drain()), Set.of("HONEST")},
+            {"CALLS_A_PART_WHOLE", small(true), Set.of("HONEST")},
+            {"SPENDS", small(true), Set.of("BUDGET")},
+        };
+    }
+
+    @Test(dataProvider = "ways")
+    public void aRuleBrokenOnPurposeIsFoundAndNothingElse(String way, Script script, Set<String> rules) throws IOException {
+        Verdict verdict = play(script, crooked(way));
+        assertEquals(verdict.why().stream().map(why -> why.split(" ")[0]).collect(Collectors.toCollection(TreeSet::new)),
+                new TreeSet<>(rules), verdict.why().toString());
+        assertTrue(verdict.figures().scans() > 30, "too few scans to prove anything: " + verdict.figures());
+    }
+
+    @DataProvider
+    Object[][] scripts() {
+        return new Object[][] {{"calm"}, {"one-killed"}, {"site-cut"}, {"grey"}, {"deaf"}};
+    }
+
+    @Test(dataProvider = "scripts")
+    public void theShippedProgramKeepsTheRules(String name) throws IOException {
+        Script script = Scripts.shipped(name);
+        Verdict verdict = play(script, Home.find());
+        assertEquals(verdict.kind(), Verdict.Kind.PASSED, verdict.why().toString());
+        var run = new RunFolder(folder.resolve("run-0"));
+        if (Files.exists(run.folder().resolve("run.json"))) {
+            assertEquals(run.judge().why(), run.judge().why());
+            String page = RunPage.html(script, run.kept(), run.judge());
+            assertTrue(page.contains("<svg") && script.faults().stream().allMatch(fault -> page.contains(fault.name())), name);
+        }
+    }
+
+    @Test
+    public void aProgramThatWontStartIsOneErrorWithItsLastWords() {
+        String message = expectThrows(IOException.class, () -> play(small(false), crooked("WONT_START"))).getMessage();
+        assertTrue(message.contains("a-0 ended with exit code 7 before it was ready: out of luck"), message);
+    }
+
+    @Test
+    public void aProgramThatWontEndIsKilledAndTold() throws IOException {
+        Verdict verdict = play(small(false), crooked("WONT_END"));
+        assertEquals(verdict.kind(), Verdict.Kind.BROKEN);
+        assertTrue(verdict.why().get(0).contains("a-0 did not end within 12 s of SIGTERM and was killed"),
+                verdict.why().toString());
+        assertTrue(ProcessHandle.current().children().noneMatch(ProcessHandle::isAlive));
+    }
+
+    @Test
+    public void aProgramThatFloodsItsLogGoesOnAndIsTold() throws IOException {
+        Verdict verdict = play(small(false), crooked("FLOODS_ITS_LOG"));
+        assertTrue(verdict.why().contains("a-0 flooded its log") && verdict.why().size() == 1, verdict.why().toString());
+    }
+}
--- /dev/null
+++ b/rig/src/test/java/sprucehold/rig/VerdictTest.java
@@ -0,0 +1,123 @@
+package sprucehold.rig;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import sprucehold.port.Listing;
+import sprucehold.rig.script.Script;
+import sprucehold.rig.verdict.Figures;
+import sprucehold.rig.verdict.Judge;
+import sprucehold.rig.verdict.LedgerFile;
+import sprucehold.rig.verdict.Outcome;
+import sprucehold.rig.verdict.Verdict;
+import sprucehold.standin.ledger.Seen;
+
+/** Ledgers, kept and judged. */
+public class VerdictTest {
+    private static final Figures.Self IN_TIME = new Figures.Self(1, 5, 0.5, 80);
+    private static final Seen.Asked ASKED = new Seen.Asked(100, "a-0", "s", "stamps", 1500, Map.of(1, 1.0));
+    private static final Seen.Arrived ARRIVED = new Seen.Arrived(110, "a-0", "x", "s", 1);
+    private static final Seen.Ran RAN = new Seen.Ran(120, "x", "s", 1, "v");
+    private static final Seen.Answered ANSWERED = new Seen.Answered(130, "s", Seen.Answer.COMPLETED, true, Map.of(1, "v"));
+
+    private static Seen.HeldUp held(double from, double to, boolean killed) {
+        return new Seen.HeldUp(from, to, "a-0", killed);
+    }
+
+    @DataProvider
+    Object[][] runs() {
+        return new Object[][] {
+            // what, ledger, whether a rule is broken
+            {"all is well", List.of(ASKED, ARRIVED, RAN, ANSWERED), false},
+            {"closed without an answer", List.of(ASKED, closed(200)), true},
+            {"closed as it was killed", List.of(ASKED, held(190, 201, true), closed(200)), false},
+            {"closed long before it was killed", List.of(ASKED, closed(200), held(900, 901, true)), true},
+            {"no answer", List.of(ASKED, held(5000, 5001, true)), true},
+            {"no answer as it was paused", List.of(ASKED, held(300, 4000, false)), false},
+            {"late by its pause", List.of(ASKED, held(300, 4000, false), throttled(4010)), false},
+            {"late for nothing", List.of(ASKED, throttled(4010)), true},
+            {"a pause excuses no effect twice", List.of(ASKED, ARRIVED, RAN, held(300, 900, false),
+                    new Seen.Ran(400, "y", "s", 1, "w"), ANSWERED), true},
+            {"a pause excuses no lie", List.of(ASKED, ARRIVED, RAN, held(300, 900, false),
+                    new Seen.Answered(950, "s", Seen.Answer.COMPLETED, true, Map.of(1, "other"))), true},
+            {"sent to a drained server", List.of(ASKED, told(100), late(700)), true},
+            {"told of the drain while it was paused", List.of(ASKED, told(100), held(90, 600, false), late(700)), false},
+            {"paused long after it was told of the drain", List.of(ASKED, told(100), held(600, 690, false), late(700)), true},
+            {"pushed over", List.of(new Seen.FellOver(5, "x", Map.of("a-0", 900.0, "b-0", 800.0))), true},
+        };
+    }
+
+    private static Seen.Answered closed(double at) {
+        return new Seen.Answered(at, "s", Seen.Answer.CLOSED, false, Map.of());
+    }
+
+    private static Seen.Answered throttled(double at) {
+        return new Seen.Answered(at, "s", Seen.Answer.THROTTLED, false, Map.of());
+    }
+
+    private static Seen.Told told(double at) {
+        return new Seen.Told(at, "a-0", "x", Listing.Mode.DRAINING);
+    }
+
+    private static Seen.Arrived late(double at) {
+        return new Seen.Arrived(at, "a-0", "x", "s", 1);
+    }
+
+    @Test(dataProvider = "runs")
+    public void onlyWhatTheRigDidItselfIsExcused(String what, List<Seen> seen, boolean broken) throws IOException {
+        Script script = Scripts.shipped("calm");
+        var all = new ArrayList<>(seen);
+        // The run goes on long enough for every scan to be due.
+        all.add(new Seen.Told(9000, "b-0", "y", Listing.Mode.RUNNING));
+        if (what.startsWith("sent") || what.contains("drain")) {
+            all.add(new Seen.Answered(800, "s", Seen.Answer.ABANDONED, false, Map.of()));
+        }
+        Verdict verdict = Judge.judge(script.with(List.of()), all, List.of(outcome(true)), IN_TIME, List.of());
+        assertEquals(verdict.kind(), broken ? Verdict.Kind.BROKEN : Verdict.Kind.PASSED, verdict.why().toString());
+        Path file = Files.createTempFile("ledger", ".jsonl");
+        LedgerFile.write(file, all);
+        assertEquals(LedgerFile.read(file), all);
+        Files.delete(file);
+    }
+
+    private static Outcome outcome(boolean inTime) {
+        return new Outcome(10, 30, "a", "offers", "acme", "WHOLE", inTime, 0.5);
+    }
+
+    @Test
+    public void aRunOfAStarvedRigDoesNotCountAndABandIsNoRule() {
+        Script script = Scripts.shipped("calm");
+        var broken = List.<Seen>of(ASKED, closed(200));
+        assertEquals(Judge.judge(script, broken, List.of(), new Figures.Self(80, 100, 1, 1), List.of()).kind(),
+                Verdict.Kind.STARVED);
+        assertEquals(Judge.judge(script, List.of(), List.of(outcome(false)), IN_TIME, List.of()).kind(),
+                Verdict.Kind.OUT_OF_BAND);
+        assertEquals(Judge.judge(script, List.of(), List.of(outcome(true)), IN_TIME, List.of("a-0 ended")).kind(),
+                Verdict.Kind.BROKEN);
+    }
+
+    @Test
+    public void whoPushedAColdServerOverIsNamedWithItsShare() {
+        var verdict = Judge.judge(Scripts.shipped("calm"), List.of(new Seen.FellOver(5, "x", Map.of("a-0", 900.0))), List.of(),
+                IN_TIME, List.of());
+        assertTrue(verdict.why().get(0).contains("a-0=900.0"), verdict.why().toString());
+    }
+
+    @Test
+    public void aLedgerCutShortIsOneErrorWithItsLine() throws IOException {
+        Path file = Files.createTempFile("ledger", ".jsonl");
+        Files.writeString(file, "{\"seen\":\"Left\",\"atMs\":3.0,\"scan\":\"s\"}\n{\"seen\":\"Le");
+        String message = expectThrows(IOException.class, () -> LedgerFile.read(file)).getMessage();
+        assertTrue(message.contains(", line 2: something seen was expected"), message);
+        Files.delete(file);
+    }
+}
--- a/standin/src/main/java/sprucehold/standin/ledger/Seen.java
+++ b/standin/src/main/java/sprucehold/standin/ledger/Seen.java
@@ -42,8 +42,17 @@
     record Ran(double atMs, String server, String scan, int segment, String value) implements Seen {
     }
 
-    /** A shard server was pushed over. */
-    record FellOver(double atMs, String server) implements Seen {
+    /**
+     * A shard server was pushed over.
+     *
+     * @param workByGatherer the work that each gatherer sent it within the rule's window, in milliseconds on one core;
+     *        empty where that isn't known
+     */
+    record FellOver(double atMs, String server, Map<String, Double> workByGatherer) implements Seen {
+    }
+
+    /** A gatherer was held up by whoever made the run: killed or paused, from {@code atMs} on. */
+    record HeldUp(double atMs, double untilMs, String gatherer, boolean killed) implements Seen {
     }
 
     /** Discovery has written news of a shard server to a gatherer. */
