Ask nothing twice for a killed gatherer, judge a run to its end, bound it in time

Seen while reading the rig again: (1) a client whose kept connection broke asked once more under the same id also when its gatherer had been killed, so that a part that had run would run twice and a gatherer be blamed; (2) a connection that the rig's own link fault reset was counted as closed without an answer; (3) the judge took the last thing seen as the end, so that a last scan without an answer was never due; (4) a fault within the rig left it waiting for good; (5) a test compared a verdict with itself. Now the end of a connection tells who ended it, the end of the clients is kept with the run, a run is given three minutes beside its script, and the kept ledgers must give the very verdict of the run.

--- a/rig/src/main/java/sprucehold/rig/link/ShapedSocket.java
+++ b/rig/src/main/java/sprucehold/rig/link/ShapedSocket.java
@@ -15,8 +15,8 @@
         /** @param readMs when the peer's bytes left it */
         void received(Buffer bytes, double readMs);
 
-        /** The connection is over; called once, whoever ended it. */
-        void closed();
+        /** The connection is over; called once. {@code byPeer} tells whether the peer ended it, not a fault or this end. */
+        void closed(boolean byPeer);
     }
 
     private record Bytes(Buffer buffer, double readMs) {
@@ -79,7 +79,7 @@
 
     /** Ends it once all that was written has passed. */
     public void close() {
-        write(Buffer.buffer(), this::end);
+        write(Buffer.buffer(), () -> end(false));
     }
 
     /** Ends it so that the peer sees a reset. */
@@ -88,17 +88,17 @@
             if (((NetSocketInternal) socket).channelHandlerContext().channel() instanceof SocketChannel channel) {
                 channel.config().setSoLinger(0);
             }
-            end();
+            end(false);
         }
     }
 
-    private void end() {
+    private void end(boolean byPeer) {
         if (!over) {
             over = true;
             wires.cancel(timer);
             wires.over(this);
             socket.close();
-            owner.closed();
+            owner.closed(byPeer);
         }
     }
 
@@ -136,7 +136,7 @@
         if (in.broken() || out.broken()) {
             reset();
         } else if (peerClosed && in.empty()) {
-            end();
+            end(true);
         } else {
             arm(Math.min(in.nextMs(), out.nextMs()));
         }
--- a/rig/src/main/java/sprucehold/rig/link/TcpRelay.java
+++ b/rig/src/main/java/sprucehold/rig/link/TcpRelay.java
@@ -53,7 +53,7 @@
                 }
 
                 @Override
-                public void closed() {
+                public void closed(boolean byPeer) {
                     far.close();
                 }
             });
--- a/rig/src/main/java/sprucehold/rig/load/Clients.java
+++ b/rig/src/main/java/sprucehold/rig/load/Clients.java
@@ -18,6 +18,7 @@
 import java.util.TreeMap;
 import java.util.function.DoubleSupplier;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import sprucehold.rig.fault.Treatment;
 import sprucehold.rig.link.ShapedSocket;
 import sprucehold.rig.link.Wires;
@@ -53,15 +54,19 @@
     private final Script script;
     private final Front front;
     private final Function<String, SocketAddress> address;
+    private final Predicate<String> killed;
     private final Listener listener;
     private final NetClient net;
     private final Map<String, Deque<Link>> idle = new HashMap<>();
     private final Set<Link> links = new LinkedHashSet<>();
     private int open;
 
-    /** @param address where a gatherer listens */
+    /**
+     * @param address where a gatherer listens
+     * @param killed whether a gatherer was killed and is not back
+     */
     public Clients(Vertx vertx, Wires wires, DoubleSupplier clock, Ledger ledger, Script script, Front front,
-            Function<String, SocketAddress> address, Listener listener) {
+            Function<String, SocketAddress> address, Predicate<String> killed, Listener listener) {
         this.vertx = vertx;
         this.wires = wires;
         this.clock = clock;
@@ -69,6 +74,7 @@
         this.script = script;
         this.front = front;
         this.address = address;
+        this.killed = killed;
         this.listener = listener;
         // Longer than any client waits: who waits in vain leaves by itself.
         this.net = vertx.createNetClient(new NetClientOptions().setTcpNoDelay(true).setConnectTimeout(60_000));
@@ -213,10 +219,17 @@
             }
         }
 
-        /** The connection ended with no answer; a kept one that closed unread is no loss, and is asked once more. */
-        void closed(boolean reused) {
+        /**
+         * The connection ended with no answer. A kept one that its gatherer closed unread is no loss, and is asked once
+         * more; where the gatherer was killed nobody knows what ran, and where a fault broke the link it takes the client
+         * to have left.
+         */
+        void closed(boolean byPeer, boolean reused, String gatherer) {
             link = null;
-            if (!asked || reused && !sentAgain) {
+            if (asked && !byPeer) {
+                ledger.add(new Seen.Left(clock.getAsDouble(), id));
+                end(End.LEFT);
+            } else if (!asked || reused && !sentAgain && !killed.test(gatherer)) {
                 sentAgain |= asked;
                 failed();
             } else {
@@ -323,14 +336,14 @@
         }
 
         @Override
-        public void closed() {
+        public void closed(boolean byPeer) {
             over = true;
             links.remove(this);
             idle.getOrDefault(site + " " + gatherer, new ArrayDeque<>()).remove(this);
             if (asking != null) {
                 Asking by = asking;
                 asking = null;
-                by.closed(sent > 1 && read.length() == 0);
+                by.closed(byPeer, sent > 1 && read.length() == 0, gatherer);
             }
         }
     }
--- a/rig/src/main/java/sprucehold/rig/run/LoadAlone.java
+++ b/rig/src/main/java/sprucehold/rig/run/LoadAlone.java
@@ -51,7 +51,7 @@
             siteOf.keySet().forEach(front::ready);
             double firstMs = clock.getAsDouble() + 50;
             var clients = new Clients(vertx, new Wires(vertx, clock, seed), clock, new Ledger(), script, front,
-                    name -> to.get(Integer.parseInt(name.substring(1))),
+                    name -> to.get(Integer.parseInt(name.substring(1))), name -> false,
                     (ask, atMs, end, late) -> outcomes.add(Ends.of(script, ask, firstMs, atMs, end, late)));
             var next = new int[1];
             vertx.setPeriodic(1000, id -> progress.accept(outcomes.size() + " of " + plan.asks().size() + " ended"));
--- a/rig/src/main/java/sprucehold/rig/run/Run.java
+++ b/rig/src/main/java/sprucehold/rig/run/Run.java
@@ -11,12 +11,16 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
 import org.HdrHistogram.Histogram;
 import sprucehold.rig.fault.FaultBoard;
@@ -48,6 +52,8 @@
     /** Clients are done by their longest time to wait, and this. */
     private static final double AFTER_MS = 1500;
     private static final long END_WITHIN_MS = 12_000;
+    /** Starting, waiting for the last answers and ending take no longer, or something is wrong with the rig itself. */
+    private static final long MOST_BESIDE_MS = 180_000;
     private static final long LOOK_MS = 10;
 
     private final Script script;
@@ -76,6 +82,7 @@
     private final Map<String, Double> heldSince = new HashMap<>();
     /** Gatherers that were told to end or killed: their end is no crash. */
     private final Map<String, Boolean> sentAway = new HashMap<>();
+    private final Set<String> killed = new HashSet<>();
     private final List<String> crashed = new ArrayList<>();
     private final List<Outcome> outcomes = new ArrayList<>();
     private final Histogram loopLate = new Histogram(3);
@@ -84,6 +91,7 @@
     private double lookedAt = Double.NaN;
     private double cpuAtFirst;
     private boolean ending;
+    private double overMs;
 
     private Run(Script script, long seed, Home home, RunFolder folder, Consumer<String> progress) throws IOException {
         this.script = script;
@@ -101,7 +109,7 @@
         this.front = new Front(siteOf, script.frontLearnsMs());
         this.clients = new Clients(vertx, wires, this::now, ledger, script, front,
                 name -> SocketAddress.inetSocketAddress(addresses.gathererPort(), addresses.gatherer(number(name))),
-                this::ended);
+                killed::contains, this::ended);
         this.board = new FaultBoard(plan.faults());
     }
 
@@ -124,7 +132,9 @@
         vertx.runOnContext(none -> start().compose(ready -> load()).compose(loaded -> end())
                 .onComplete(all -> done.complete(null), done::completeExceptionally));
         try {
-            done.get();
+            done.get((long) (1000 * script.lengthS()) + MOST_BESIDE_MS, TimeUnit.MILLISECONDS);
+        } catch (TimeoutException e) {
+            throw new IOException("the run did not end " + MOST_BESIDE_MS / 1000 + " s after its script", e);
         } catch (ExecutionException e) {
             throw e.getCause() instanceof IOException io ? io : new IOException(String.valueOf(e.getCause()), e.getCause());
         } catch (InterruptedException e) {
@@ -139,7 +149,7 @@
             }
         });
         outcomes.sort(Comparator.comparingDouble(Outcome::plannedMs));
-        return folder.write(new RunFolder.Kept(plan.seed(), List.copyOf(spans), List.copyOf(outcomes),
+        return folder.write(new RunFolder.Kept(plan.seed(), overMs, List.copyOf(spans), List.copyOf(outcomes),
                 new Figures.Self(loopLate.getValueAtPercentile(99) / 1000.0, loopLate.getMaxValue() / 1000.0, cores, memory),
                 List.copyOf(crashed)), ledger.inOrder());
     }
@@ -215,6 +225,7 @@
         GathererProcess process = gatherers.get(name);
         return process.start(folder.file(name + ".json"), clockOffMs).onSuccess(ready -> {
             front.ready(name);
+            killed.remove(name);
             process.ended().onSuccess(code -> gone(name, code));
         });
     }
@@ -369,6 +380,7 @@
     private Future<Integer> kill(String name) {
         GathererProcess process = gatherers.get(name);
         sentAway.put(name, true);
+        killed.add(name);
         double since = now();
         return process.signal("KILL").compose(sent -> process.ended()).onComplete(gone -> {
             front.gone(now(), name);
@@ -439,6 +451,7 @@
 
     private Future<Void> end() {
         ending = true;
+        overMs = now();
         progress.accept(line());
         board.inForce().forEach(fault -> {
             if (fault.fault().kind().whom() == Fault.Whom.LINK) {
--- a/rig/src/main/java/sprucehold/rig/run/RunFolder.java
+++ b/rig/src/main/java/sprucehold/rig/run/RunFolder.java
@@ -28,10 +28,11 @@
      * What was seen of a run.
      *
      * @param seed of its plan
+     * @param overMs when clients were done, by the run's clock: all scans are due by then
      * @param faults when each really began and ended, in seconds from the first scan
      * @param crashed gatherers that ended by themselves, in words
      */
-    public record Kept(long seed, List<Span> faults, List<Outcome> outcomes, Figures.Self self, List<String> crashed) {
+    public record Kept(long seed, double overMs, List<Span> faults, List<Outcome> outcomes, Figures.Self self, List<String> crashed) {
     }
 
     /** When a fault was in force, in seconds from the first scan. */
@@ -69,7 +70,7 @@
     Verdict write(Kept kept, List<Seen> seen) throws IOException {
         LedgerFile.write(file("ledger.jsonl"), seen);
         JSON.writeValue(file("run.json").toFile(), kept);
-        Verdict verdict = Judge.judge(script(), seen, kept.outcomes, kept.self, kept.crashed);
+        Verdict verdict = Judge.judge(script(), seen, kept.overMs, kept.outcomes, kept.self, kept.crashed);
         JSON.writeValue(file("verdict.json").toFile(), verdict);
         return verdict;
     }
@@ -93,6 +94,6 @@
     /** Judges the kept ledgers again. */
     public Verdict judge() throws IOException {
         Kept kept = kept();
-        return Judge.judge(script(), seen(), kept.outcomes, kept.self, kept.crashed);
+        return Judge.judge(script(), seen(), kept.overMs, kept.outcomes, kept.self, kept.crashed);
     }
 }
--- a/rig/src/main/java/sprucehold/rig/server/ServerHost.java
+++ b/rig/src/main/java/sprucehold/rig/server/ServerHost.java
@@ -177,7 +177,7 @@
         }
 
         @Override
-        public void closed() {
+        public void closed(boolean byPeer) {
             connections.remove(this);
             model.closed(this);
             out.accept(gatherer, -outs);
--- a/rig/src/main/java/sprucehold/rig/verdict/Judge.java
+++ b/rig/src/main/java/sprucehold/rig/verdict/Judge.java
@@ -34,15 +34,15 @@
 
     /**
      * @param seen all ledgers, in any order
+     * @param overMs when the run was over: a scan whose time ended before needs an answer
      * @param crashed what gatherers ended by themselves, in words
      */
-    public static Verdict judge(Script script, List<Seen> seen, List<Outcome> outcomes, Figures.Self self,
+    public static Verdict judge(Script script, List<Seen> seen, double overMs, List<Outcome> outcomes, Figures.Self self,
             List<String> crashed) {
         List<Seen> inOrder = seen.stream().sorted(Comparator.comparingDouble(Seen::atMs)).toList();
-        double endMs = inOrder.isEmpty() ? 0 : inOrder.get(inOrder.size() - 1).atMs();
         Figures figures = Figures.of(outcomes, self);
         var why = new ArrayList<String>(crashed);
-        for (Broken broken : RuleChecker.check(terms(script), inOrder, endMs)) {
+        for (Broken broken : RuleChecker.check(terms(script), inOrder, overMs)) {
             why.add(broken.rule() + " at " + String.format(Locale.ROOT, "%.0f ms: ", broken.atMs()
                     - inOrder.get(0).atMs()) + broken.what());
         }
--- a/rig/src/test/java/sprucehold/rig/RunTest.java
+++ b/rig/src/test/java/sprucehold/rig/RunTest.java
@@ -30,6 +30,7 @@
     private static final int TRIES = 3;
 
     private Path folder;
+    private Path last;
 
     @BeforeMethod
     public void open() throws IOException {
@@ -48,7 +49,8 @@
     private Verdict play(Script script, Home home) throws IOException {
         Verdict verdict = null;
         for (int i = 0; i < TRIES && (verdict == null || verdict.kind() == Verdict.Kind.STARVED); i++) {
-            verdict = Run.play(script, 3, home, RunFolder.make(folder.resolve("run-" + i)), line -> { });
+            last = folder.resolve("run-" + i);
+            verdict = Run.play(script, 3, home, RunFolder.make(last), line -> { });
         }
         return verdict;
     }
@@ -113,12 +115,10 @@
         Script script = Scripts.shipped(name);
         Verdict verdict = play(script, Home.find());
         assertEquals(verdict.kind(), Verdict.Kind.PASSED, verdict.why().toString());
-        var run = new RunFolder(folder.resolve("run-0"));
-        if (Files.exists(run.folder().resolve("run.json"))) {
-            assertEquals(run.judge().why(), run.judge().why());
-            String page = RunPage.html(script, run.kept(), run.judge());
-            assertTrue(page.contains("<svg") && script.faults().stream().allMatch(fault -> page.contains(fault.name())), name);
-        }
+        var run = new RunFolder(last);
+        assertEquals(run.judge(), verdict, "the kept ledgers are judged as the run was");
+        String page = RunPage.html(script, run.kept(), verdict);
+        assertTrue(page.contains("<svg") && script.faults().stream().allMatch(fault -> page.contains(fault.name())), name);
     }
 
     @Test
--- a/rig/src/test/java/sprucehold/rig/VerdictTest.java
+++ b/rig/src/test/java/sprucehold/rig/VerdictTest.java
@@ -76,12 +76,10 @@
     public void onlyWhatTheRigDidItselfIsExcused(String what, List<Seen> seen, boolean broken) throws IOException {
         Script script = Scripts.shipped("calm");
         var all = new ArrayList<>(seen);
-        // The run goes on long enough for every scan to be due.
-        all.add(new Seen.Told(9000, "b-0", "y", Listing.Mode.RUNNING));
         if (what.startsWith("sent") || what.contains("drain")) {
             all.add(new Seen.Answered(800, "s", Seen.Answer.ABANDONED, false, Map.of()));
         }
-        Verdict verdict = Judge.judge(script.with(List.of()), all, List.of(outcome(true)), IN_TIME, List.of());
+        Verdict verdict = Judge.judge(script.with(List.of()), all, 9000, List.of(outcome(true)), IN_TIME, List.of());
         assertEquals(verdict.kind(), broken ? Verdict.Kind.BROKEN : Verdict.Kind.PASSED, verdict.why().toString());
         Path file = Files.createTempFile("ledger", ".jsonl");
         LedgerFile.write(file, all);
@@ -97,18 +95,18 @@
     public void aRunOfAStarvedRigDoesNotCountAndABandIsNoRule() {
         Script script = Scripts.shipped("calm");
         var broken = List.<Seen>of(ASKED, closed(200));
-        assertEquals(Judge.judge(script, broken, List.of(), new Figures.Self(80, 100, 1, 1), List.of()).kind(),
+        assertEquals(Judge.judge(script, broken, 9000, List.of(), new Figures.Self(80, 100, 1, 1), List.of()).kind(),
                 Verdict.Kind.STARVED);
-        assertEquals(Judge.judge(script, List.of(), List.of(outcome(false)), IN_TIME, List.of()).kind(),
+        assertEquals(Judge.judge(script, List.of(), 9000, List.of(outcome(false)), IN_TIME, List.of()).kind(),
                 Verdict.Kind.OUT_OF_BAND);
-        assertEquals(Judge.judge(script, List.of(), List.of(outcome(true)), IN_TIME, List.of("a-0 ended")).kind(),
+        assertEquals(Judge.judge(script, List.of(), 9000, List.of(outcome(true)), IN_TIME, List.of("a-0 ended")).kind(),
                 Verdict.Kind.BROKEN);
     }
 
     @Test
     public void whoPushedAColdServerOverIsNamedWithItsShare() {
-        var verdict = Judge.judge(Scripts.shipped("calm"), List.of(new Seen.FellOver(5, "x", Map.of("a-0", 900.0))), List.of(),
-                IN_TIME, List.of());
+        var verdict = Judge.judge(Scripts.shipped("calm"), List.of(new Seen.FellOver(5, "x", Map.of("a-0", 900.0))), 9000,
+                List.of(), IN_TIME, List.of());
         assertTrue(verdict.why().get(0).contains("a-0=900.0"), verdict.why().toString());
     }
 
