Close clients' connections so that nothing written or taken is lost

A request that fails gets 500.

Two tests are stricter: what can't be read must be answered (an empty answer passed before), and a failed request is answered 500 where the test asked for a bare close.

--- a/gatherer/src/main/java/sprucehold/clients/ClientConnections.java
+++ b/gatherer/src/main/java/sprucehold/clients/ClientConnections.java
@@ -1,7 +1,5 @@
 package sprucehold.clients;
 
-import io.vertx.core.http.HttpConnection;
-import io.vertx.core.http.impl.HttpServerConnection;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -10,20 +8,46 @@
 import java.util.function.DoubleSupplier;
 
 /**
- * The connections of clients: how many there may be, and which are closed for holding a place without need. A
- * connection is <em>new</em> until a request of its has come in whole, and again while a further one comes in;
- * <em>busy</em> until that is answered; and then <em>kept</em>.
+ * The one owner of when a client's connection ends: how many there may be, and which are closed for holding a place
+ * without need. Whoever else wants one closed asks here; <em>how</em> it is closed is {@link LingeringClose}'s.
+ *
+ * <pre>
+ *            head of a request            whole request          answer written
+ *   NEW  ----------------------------&gt; NEW --------------&gt; BUSY ----------------&gt; KEPT --head--&gt; NEW
+ *    |  too old, or too many of them                        |  last answer         |  idle, crowded, or draining
+ *    v                                                      v                      v
+ *   SHUT &lt;----------------- written, or too old ---------- LAST                   SHUT --gone--&gt; forgotten
+ * </pre>
+ *
+ * Nothing is shut by its age before the sockets were read once more ({@link #sweep}, then {@link #settle}): a request
+ * that lies whole in the system's buffer has been taken, and its connection isn't idle. Pure: no sockets, no threads.
  */
-final class ClientConnections {
+final class ClientConnections<C> {
     /** Who hasn't sent a whole request after this time is closed, with time to spare to the 3 s of the protocol. */
     static final double NEW_MS = 2500;
     /** A kept connection may be closed after 2 s; with room to spare there is no hurry. */
     static final double KEPT_MS = 20_000;
     static final double KEPT_CROWDED_MS = 2000;
+    /** Who opens a connection to ask does so at once: some passes over the sockets, and the way. */
+    private static final double ARRIVING_MS = 20;
+
+    /** What is done to a connection. */
+    interface Closer<C> {
+        /** Ends it so that what was written still arrives; {@link #gone} follows. */
+        void shut(C connection);
+
+        /** Ends it at once, whatever becomes of what was written. */
+        void cut(C connection);
+    }
 
     private static final class State {
         double since;
-        boolean closing;
+        /** What else it sends is not heard: its next answer is its last. */
+        boolean unheard;
+        /** That answer is on the way. */
+        boolean last;
+        /** To be shut unless the next pass over the sockets brings something of it. */
+        boolean doomed;
 
         State(double since) {
             this.since = since;
@@ -32,117 +56,189 @@
 
     private final int most;
     private final DoubleSupplier clock;
-    private final Map<HttpConnection, State> all = new HashMap<>();
+    private final Closer<C> closer;
+    private final Map<C, State> all = new HashMap<>();
     /** Longest-standing first. */
-    private final Set<HttpConnection> fresh = new LinkedHashSet<>();
-    private final Set<HttpConnection> kept = new LinkedHashSet<>();
-
-    ClientConnections(int most, DoubleSupplier clock) {
+    private final Set<C> fresh = new LinkedHashSet<>();
+    private final Set<C> kept = new LinkedHashSet<>();
+    /** Shut and not gone, which takes the other side's close or a bounded time; the longest-standing first. */
+    private final Set<C> shut = new LinkedHashSet<>();
+    /** Those on which a request has begun to come in and isn't whole. */
+    private final Set<C> begun = new LinkedHashSet<>();
+
+    ClientConnections(int most, DoubleSupplier clock, Closer<C> closer) {
         this.most = most;
         this.clock = clock;
+        this.closer = closer;
     }
 
     /** Takes a connection in; true if there are too many now and {@link #trim} is due once they have been read. */
-    boolean opened(HttpConnection connection) {
+    boolean opened(C connection) {
         all.put(connection, new State(clock.getAsDouble()));
         fresh.add(connection);
-        connection.closeHandler(none -> forget(connection));
-        return all.size() > most;
+        return held() > most;
+    }
+
+    private int held() {
+        return all.size() + shut.size();
     }
 
     /**
-     * Closes what is beyond the most: the longest new ones first, since who means to ask does so at once and they
-     * stand there to say nothing, then kept ones that may be closed by now.
+     * Closes what is beyond the most: what is shut already, whose other side had its time; the longest new ones, since
+     * who means to ask does so at once and they stand there to say nothing; then kept ones that may be closed by now.
      */
     void trim() {
-        while (all.size() > most && !fresh.isEmpty()) {
-            drop(fresh.iterator().next());
+        while (held() > most && !shut.isEmpty()) {
+            C oldest = shut.iterator().next();
+            shut.remove(oldest);
+            closer.cut(oldest);
+        }
+        int beyond = held() - most;
+        for (int i = 0; i < beyond && !fresh.isEmpty(); i++) {
+            shut(fresh.iterator().next());
         }
         while (all.size() > most && !kept.isEmpty() && idleFor(kept.iterator().next()) >= KEPT_CROWDED_MS) {
-            drop(kept.iterator().next());
+            shut(kept.iterator().next());
         }
     }
 
-    private double idleFor(HttpConnection connection) {
+    private double idleFor(C connection) {
         return clock.getAsDouble() - all.get(connection).since;
     }
 
     /** The head of a request has come; false if nothing more is taken from this connection. */
-    boolean begun(HttpConnection connection) {
+    boolean begun(C connection) {
         State state = all.get(connection);
-        if (state == null || state.closing) {
+        if (state == null || state.unheard) {
             return false;
         }
         if (kept.remove(connection)) {
             state.since = clock.getAsDouble();
+            state.doomed = false;
             fresh.add(connection);
         }
+        begun.add(connection);
         return true;
     }
 
     /** A request has come in whole. */
-    void busy(HttpConnection connection) {
-        fresh.remove(connection);
+    void busy(C connection) {
+        State state = all.get(connection);
+        if (state != null) {
+            state.doomed = false;
+            fresh.remove(connection);
+            begun.remove(connection);
+        }
     }
 
     /** The answer is written out. */
-    void answered(HttpConnection connection) {
+    void answered(C connection) {
         State state = all.get(connection);
-        if (state != null && !state.closing) {
+        if (state != null && !state.last) {
             state.since = clock.getAsDouble();
             fresh.remove(connection);
+            begun.remove(connection);
             kept.add(connection);
         }
     }
 
+    /** More was sent than may wait: what else it sends is not heard, and its next answer is its last. */
+    void flooded(C connection) {
+        State state = all.get(connection);
+        if (state != null) {
+            state.unheard = true;
+            if (kept.contains(connection)) {
+                shut(connection);
+            }
+        }
+    }
+
     /** Its last answer is on the way; what else it sends is not heard. */
-    void closing(HttpConnection connection) {
+    void last(C connection) {
         State state = all.get(connection);
-        if (state != null && !state.closing) {
-            state.closing = true;
+        if (state != null && !state.last) {
+            state.unheard = true;
+            state.last = true;
             state.since = clock.getAsDouble();
             kept.remove(connection);
             fresh.add(connection);
         }
     }
 
+    /** Whether its next answer has to be its last. */
+    boolean isUnheard(C connection) {
+        State state = all.get(connection);
+        return state == null || state.unheard;
+    }
+
     /** Whether so many are held that clients are asked to close after an answer, which loses nothing. */
     boolean crowded() {
-        return all.size() > most / 2;
+        return held() > most / 2;
     }
 
-    void sweep() {
-        closeAfter(fresh, NEW_MS);
-        closeAfter(kept, crowded() ? KEPT_CROWDED_MS : KEPT_MS);
+    /** Looks for those that stand too long; true if {@link #settle} is due once the sockets have been read. */
+    boolean sweep() {
+        return doom(fresh, NEW_MS) | doom(kept, crowded() ? KEPT_CROWDED_MS : KEPT_MS);
     }
 
-    /** Closes the connections that are kept. */
-    void closeKept() {
-        closeAfter(kept, 0);
+    /** Looks for all that are kept; true if {@link #settle} is due once the sockets have been read. */
+    boolean sweepKept() {
+        return doom(kept, 0);
     }
 
-    private void closeAfter(Set<HttpConnection> connections, double ms) {
-        for (HttpConnection connection : List.copyOf(connections)) {
+    private boolean doom(Set<C> connections, double ms) {
+        boolean any = false;
+        for (C connection : connections) {
             if (idleFor(connection) < ms) {
-                return;
+                break;
+            }
+            all.get(connection).doomed = true;
+            any = true;
+        }
+        return any;
+    }
+
+    /** Shuts those that a sweep found and of which nothing came since. */
+    void settle() {
+        for (C connection : List.copyOf(all.keySet())) {
+            if (all.get(connection).doomed) {
+                shut(connection);
             }
-            drop(connection);
         }
     }
 
-    /** Closes it at once: neither answers that aren't read nor requests that wait behind must hold up the close. */
-    void drop(HttpConnection connection) {
+    /** Ends it: neither answers that aren't read nor requests that wait behind hold up its end for long. */
+    void shut(C connection) {
+        if (forget(connection)) {
+            shut.add(connection);
+            closer.shut(connection);
+        }
+    }
+
+    /** It is closed. */
+    void gone(C connection) {
         forget(connection);
-        ((HttpServerConnection) connection).channelHandlerContext().channel().close();
+        shut.remove(connection);
     }
 
-    private void forget(HttpConnection connection) {
-        all.remove(connection);
+    private boolean forget(C connection) {
         fresh.remove(connection);
         kept.remove(connection);
+        begun.remove(connection);
+        return all.remove(connection) != null;
+    }
+
+    /** Connections on which a request has begun to come in, or that are so new that one is most likely on its way. */
+    int arriving() {
+        int arriving = begun.size();
+        for (C connection : fresh) {
+            arriving += !begun.contains(connection) && idleFor(connection) < ARRIVING_MS ? 1 : 0;
+        }
+        return arriving;
     }
 
+    /** Those that are open or being closed. */
     int size() {
-        return all.size();
+        return held();
     }
 }
--- a/gatherer/src/main/java/sprucehold/clients/ClientServer.java
+++ b/gatherer/src/main/java/sprucehold/clients/ClientServer.java
@@ -1,5 +1,7 @@
 package sprucehold.clients;
 
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.vertx.core.Future;
@@ -36,38 +38,94 @@
     private final ScanReader reader;
     private final DoubleSupplier clock;
     private final Map<Scan, HttpServerRequest> open = new IdentityHashMap<>();
-    private final ClientConnections connections;
+    private final Vertx vertx;
+    private final ClientConnections<HttpConnection> connections;
     /** Answers that aren't written out. */
     private int writing;
     private boolean draining;
     private boolean trimming;
+    private boolean settling;
+    private long floods;
 
     /** {@code most} is how many connections clients may hold. */
     public ClientServer(Vertx vertx, int segments, int most, Desk desk, DoubleSupplier clock) {
+        this.vertx = vertx;
         this.desk = desk;
         this.clock = clock;
         this.reader = new ScanReader(segments);
-        this.connections = new ClientConnections(most, clock);
+        this.connections = new ClientConnections<>(most, clock, new ChannelCloser());
         var options = new HttpServerOptions().setTcpNoDelay(true).setHandle100ContinueAutomatically(true)
                 .setHttp2ClearTextEnabled(false);
         this.server = vertx.createHttpServer(options);
-        server.connectionHandler(connection -> {
-            connection.exceptionHandler(failure -> LOG.log(Level.FINE, "client connection", failure));
-            ((HttpServerConnection) connection).channelHandlerContext().pipeline()
-                    .replace("httpDecoder", "httpDecoder", new StrictDecoder(options));
-            if (connections.opened(connection) && !trimming) {
-                trimming = true;
-                // A pass over the sockets later, so that what they have sent is read: a burst isn't a flood.
-                vertx.setTimer(1, timer -> {
-                    trimming = false;
-                    connections.trim();
-                });
-            }
-        });
+        server.connectionHandler(connection -> opened(connection, options));
         server.exceptionHandler(failure -> LOG.log(Level.FINE, "client connection", failure));
         server.requestHandler(request -> guarded(request, () -> requested(request)));
         server.invalidRequestHandler(this::unreadable);
-        vertx.setPeriodic(SWEEP_MS, timer -> connections.sweep());
+        vertx.setPeriodic(SWEEP_MS, timer -> sweep());
+    }
+
+    private static Channel channel(HttpConnection connection) {
+        return ((HttpServerConnection) connection).channelHandlerContext().channel();
+    }
+
+    private static final class ChannelCloser implements ClientConnections.Closer<HttpConnection> {
+        @Override
+        public void shut(HttpConnection connection) {
+            // Not by way of the HTTP server: what isn't read and who waits behind must not hold up the close.
+            ChannelHandlerContext ending = ending(connection);
+            ((LingeringClose) ending.handler()).close(ending, ending.newPromise());
+        }
+
+        @Override
+        public void cut(HttpConnection connection) {
+            ChannelHandlerContext ending = ending(connection);
+            ((LingeringClose) ending.handler()).cut(ending);
+        }
+
+        private static ChannelHandlerContext ending(HttpConnection connection) {
+            return channel(connection).pipeline().context(LingeringClose.class);
+        }
+    }
+
+    private void opened(HttpConnection connection, HttpServerOptions options) {
+        connection.exceptionHandler(failure -> LOG.log(Level.FINE, "client connection", failure));
+        connection.closeHandler(none -> connections.gone(connection));
+        channel(connection).pipeline().addFirst(new LingeringClose(() -> flooded(connection)))
+                .replace("httpDecoder", "httpDecoder", new StrictDecoder(options));
+        if (connections.opened(connection) && !trimming) {
+            trimming = true;
+            // A pass over the sockets later, so that what they have sent is read: a burst isn't a flood.
+            vertx.setTimer(1, timer -> {
+                trimming = false;
+                connections.trim();
+            });
+        }
+    }
+
+    private void flooded(HttpConnection connection) {
+        floods++;
+        connections.flooded(connection);
+    }
+
+    /** How many connections sent more at once than may wait. */
+    long floods() {
+        return floods;
+    }
+
+    /** Looks after connections that stand too long. */
+    void sweep() {
+        settleIf(connections.sweep());
+    }
+
+    /** Has what a sweep found closed a pass over the sockets later, so that what they have sent is read. */
+    private void settleIf(boolean due) {
+        if (due && !settling) {
+            settling = true;
+            vertx.setTimer(1, timer -> {
+                settling = false;
+                connections.settle();
+            });
+        }
     }
 
     public Future<HttpServer> listen(SocketAddress at) {
@@ -97,6 +155,8 @@
                 body.appendBuffer(bytes);
             }
         });
+        // Chunks that can't be read; the HTTP server closes the connection next.
+        request.exceptionHandler(failure -> last(request, 400, "not a body that can be read"));
         request.endHandler(none -> {
             if (request.response().ended()) {
                 return;
@@ -106,13 +166,18 @@
         });
     }
 
-    /** A request that fails ends its connection, whose client must not wait for an answer that nobody gives. */
+    /** A request that fails is answered as such, and ends its connection: its client must not wait for nobody. */
     private void guarded(HttpServerRequest request, Runnable step) {
         try {
             step.run();
         } catch (RuntimeException e) {
             LOG.log(Level.SEVERE, "panic: a request failed and its connection is closed", e);
-            connections.drop(request.connection());
+            open.entrySet().stream().filter(entry -> entry.getValue() == request).map(Map.Entry::getKey).findAny()
+                    .ifPresent(scan -> {
+                        open.remove(scan);
+                        desk.left(scan);
+                    });
+            last(request, 500, "this request failed");
         }
     }
 
@@ -191,7 +256,6 @@
     /** Rejects a request of which more may come, and all else on its connection. */
     private void last(HttpServerRequest request, int status, String reason) {
         if (!request.response().ended()) {
-            connections.closing(request.connection());
             end(request, status, Buffer.buffer(reason + "\n"), true);
         }
     }
@@ -204,7 +268,7 @@
     }
 
     private void end(HttpServerRequest request, int status, Buffer body) {
-        end(request, status, body, draining || connections.crowded());
+        end(request, status, body, draining || connections.crowded() || connections.isUnheard(request.connection()));
     }
 
     private void end(HttpServerRequest request, int status, Buffer body, boolean close) {
@@ -215,13 +279,13 @@
         HttpConnection connection = request.connection();
         if (close) {
             response.putHeader("Connection", "close");
-            connections.closing(connection);
+            connections.last(connection);
         }
         writing++;
         response.setStatusCode(status).end(body).onComplete(done -> {
             writing--;
             if (close) {
-                connections.drop(connection);
+                connections.shut(connection);
             } else {
                 connections.answered(connection);
             }
@@ -235,7 +299,12 @@
 
     /** Closes connections that have no request under way. */
     public void closeIdle() {
-        connections.closeKept();
+        settleIf(connections.sweepKept());
+    }
+
+    /** Connections on which a request is most likely coming in, which will want an answer. */
+    public int arriving() {
+        return connections.arriving();
     }
 
     public int connections() {
@@ -247,7 +316,7 @@
         return open.size() + writing;
     }
 
-    /** Ends the listener and all connections. */
+    /** Ends the listener and all connections, each so that what was written still arrives. */
     public Future<Void> close() {
         return server.close();
     }
--- /dev/null
+++ b/gatherer/src/test/java/sprucehold/clients/ClientConnectionsTest.java
@@ -0,0 +1,152 @@
+package sprucehold.clients;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** When connections of clients end, without any. */
+public class ClientConnectionsTest {
+    private double now;
+    private final List<String> done = new ArrayList<>();
+    private ClientConnections<String> connections;
+
+    @BeforeMethod
+    public void open() {
+        now = 0;
+        done.clear();
+        connections = new ClientConnections<>(4, () -> now, new ClientConnections.Closer<>() {
+            @Override
+            public void shut(String connection) {
+                done.add("shut " + connection);
+            }
+
+            @Override
+            public void cut(String connection) {
+                done.add("cut " + connection);
+            }
+        });
+    }
+
+    private void step(String step) {
+        String[] words = step.split(" ");
+        String c = words.length > 1 ? words[1] : "";
+        switch (words[0]) {
+            case "open" -> connections.opened(c);
+            case "head" -> connections.begun(c);
+            case "whole" -> connections.busy(c);
+            case "answered" -> connections.answered(c);
+            case "flooded" -> connections.flooded(c);
+            case "last" -> connections.last(c);
+            case "ends" -> connections.shut(c);
+            case "gone" -> connections.gone(c);
+            case "trim" -> connections.trim();
+            case "sweep" -> connections.sweep();
+            case "rests" -> connections.sweepKept();
+            case "settle" -> connections.settle();
+            default -> now += Double.parseDouble(words[0]);
+        }
+    }
+
+    @DataProvider
+    Object[][] days() {
+        return new Object[][] {
+            // What happens, or how much time passes; and what is done.
+            {"open a, 2499, sweep, settle", ""},
+            {"open a, 2500, sweep, settle", "shut a"},
+            {"open a, head a, 2500, sweep, settle", "shut a"},
+            {"open a, 2500, sweep, head a, whole a, settle", ""},
+            {"open a, head a, whole a, 9000, sweep, settle", ""},
+            {"open a, head a, whole a, answered a, 19999, sweep, settle", ""},
+            {"open a, head a, whole a, answered a, 20000, sweep, settle", "shut a"},
+            {"open a, head a, whole a, answered a, 20000, sweep, head a, settle", ""},
+            {"open a, open b, open c, head a, whole a, answered a, 2000, sweep, settle", "shut a"},
+            {"open a, head a, whole a, answered a, rests, settle", "shut a"},
+            {"open a, head a, whole a, answered a, rests, head a, settle", ""},
+            {"open a, head a, whole a, rests, settle", ""},
+            {"open a, open b, open c, open d, open e, trim", "shut a"},
+            {"open a, open b, open c, open d, open e, trim, open f, trim", "shut a, cut a, shut b"},
+            {"open a, open b, open c, open d, open e, trim, gone a, trim", "shut a"},
+            {"open a, head a, whole a, open b, open c, open d, open e, trim", "shut b"},
+            {"open a, head a, whole a, last a, 2499, sweep, settle", ""},
+            {"open a, head a, whole a, last a, 2500, sweep, settle", "shut a"},
+            {"open a, head a, whole a, last a, ends a, ends a", "shut a"},
+            {"open a, head a, whole a, flooded a, 9000, sweep, settle", ""},
+            {"open a, head a, whole a, answered a, flooded a", "shut a"},
+            {"open a, ends a, gone a, ends a, 9000, sweep, settle", "shut a"},
+        };
+    }
+
+    @Test(dataProvider = "days")
+    public void connectionsEndWhenTheyHoldAPlaceWithoutNeedAndNoSooner(String steps, String ends) {
+        for (String step : steps.split(", ")) {
+            step(step);
+        }
+        assertEquals(String.join(", ", done), ends);
+    }
+
+    @DataProvider
+    Object[][] heard() {
+        return new Object[][] {
+            {"open a", true}, {"open a, head a, whole a, answered a", true}, {"open a, flooded a", false},
+            {"open a, head a, whole a, last a", false}, {"open a, ends a", false}, {"open a, gone a", false},
+        };
+    }
+
+    @Test(dataProvider = "heard")
+    public void nothingMoreIsTakenFromWhoHasHadItsLastAnswer(String steps, boolean taken) {
+        for (String step : steps.split(", ")) {
+            step(step);
+        }
+        assertEquals(connections.begun("a"), taken);
+        assertEquals(connections.isUnheard("a"), !taken);
+    }
+
+    @DataProvider
+    Object[][] arriving() {
+        return new Object[][] {
+            {"open a", 1}, {"open a, 20", 0}, {"open a, head a, 2000", 1}, {"open a, head a, whole a", 0},
+            {"open a, head a, whole a, answered a", 0}, {"open a, head a, gone a", 0}, {"open a, open b, head b, 15", 2},
+        };
+    }
+
+    @Test(dataProvider = "arriving")
+    public void requestsThatAreComingInAreCounted(String steps, int arriving) {
+        for (String step : steps.split(", ")) {
+            step(step);
+        }
+        assertEquals(connections.arriving(), arriving);
+    }
+
+    /** Whatever happens in whatever order: none is shut twice, none is cut that wasn't shut, and none is forgotten. */
+    @Test
+    public void anyOrderOfEventsEndsEachConnectionOnce() {
+        String[] events = {"open", "head", "whole", "answered", "flooded", "last", "ends", "gone", "trim", "sweep", "rests",
+            "settle", "700"};
+        for (long seed = 0; seed < 300; seed++) {
+            open();
+            var chance = new Random(seed);
+            var opened = new ArrayList<String>();
+            for (int i = 0; i < 200; i++) {
+                String event = events[chance.nextInt(events.length)];
+                String c = event.equals("open") ? "c" + opened.size()
+                        : opened.isEmpty() ? "c0" : opened.get(chance.nextInt(opened.size()));
+                if (event.equals("open")) {
+                    opened.add(c);
+                }
+                step(event.matches("trim|sweep|rests|settle|700") ? event : event + " " + c);
+            }
+            assertEquals(done.stream().distinct().count(), done.size(), "seed " + seed + ": " + done);
+            for (String end : done) {
+                assertFalse(end.startsWith("cut") && !done.contains(end.replace("cut", "shut")), "seed " + seed);
+            }
+            opened.forEach(c -> step("gone " + c));
+            assertEquals(connections.size(), 0, "seed " + seed);
+        }
+    }
+}
--- a/gatherer/src/test/java/sprucehold/clients/ClientServerTest.java
+++ b/gatherer/src/test/java/sprucehold/clients/ClientServerTest.java
@@ -2,8 +2,10 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertThrows;
 import static org.testng.Assert.assertTrue;
 
+import io.vertx.core.Context;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.net.SocketAddress;
@@ -11,14 +13,15 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.Socket;
-import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -36,6 +39,7 @@
     private static final int MOST = 6;
 
     private Vertx vertx;
+    private Context loop;
     private ClientServer server;
     private int port;
     private volatile boolean ready;
@@ -52,6 +56,7 @@
         taken = new LinkedBlockingQueue<>();
         left = new LinkedBlockingQueue<>();
         vertx = Vertx.vertx();
+        loop = vertx.getOrCreateContext();
         var desk = new Desk() {
             @Override
             public boolean ready() {
@@ -85,7 +90,7 @@
             }
         };
         var listening = new CompletableFuture<HttpServer>();
-        vertx.runOnContext(none -> {
+        loop.runOnContext(none -> {
             server = new ClientServer(vertx, 10, MOST, desk, () -> now);
             server.listen(SocketAddress.inetSocketAddress(0, "127.0.0.1")).onComplete(listening::complete, listening::completeExceptionally);
         });
@@ -128,8 +133,17 @@
 
     /** Waits until the server holds so many connections. */
     private void accepted(int connections) throws Exception {
-        while (server.connections() != connections) {
-            Thread.sleep(1);
+        onLoop(() -> server.connections() == connections);
+    }
+
+    /** Waits until something holds on the server's own loop. */
+    private void onLoop(BooleanSupplier holds) throws Exception {
+        double until = System.nanoTime() + 10e9;
+        for (boolean does = false; !does;) {
+            assertTrue(System.nanoTime() < until, "it does not come to hold");
+            var answer = new CompletableFuture<Boolean>();
+            loop.runOnContext(none -> answer.complete(holds.getAsBoolean()));
+            does = answer.get(10, TimeUnit.SECONDS);
         }
     }
 
@@ -138,13 +152,13 @@
         int left;
         do {
             var underWay = new CompletableFuture<Integer>();
-            vertx.runOnContext(none -> underWay.complete(server.underWay()));
+            loop.runOnContext(none -> underWay.complete(server.underWay()));
             left = underWay.get(5, TimeUnit.SECONDS);
         } while (left > 0);
     }
 
     private void answer(Scan scan, Answer answer) {
-        vertx.runOnContext(none -> server.answer(scan, answer));
+        loop.runOnContext(none -> server.answer(scan, answer));
     }
 
     @DataProvider
@@ -196,25 +210,134 @@
     @Test(dataProvider = "unreadable")
     public void whatCantBeReadIsTheLastOfItsConnection(String request, int status) throws Exception {
         try (Socket socket = connect(request + post("/q", "hidden", BODY))) {
-            // Of what is closed with bytes unread the other side may see the close alone.
             String response = rest(socket);
-            assertTrue(response.isEmpty() || response.matches("(?s)HTTP/1.[01] " + status + " .*"), response);
-            assertEquals(response.split("HTTP/1", -1).length <= 2, true, response);
+            assertTrue(response.matches("(?s)HTTP/1.[01] " + status + " .*"), response);
+            assertEquals(response.split("HTTP/1", -1).length, 2, response);
             assertTrue(taken.isEmpty(), String.valueOf(taken));
         }
     }
 
-    /** What comes until the other side closes. */
+    /** What comes until the other side closes; a reset fails. */
     private static String rest(Socket socket) throws IOException {
         var bytes = new ByteArrayOutputStream();
-        try {
-            socket.getInputStream().transferTo(bytes);
-        } catch (SocketException e) {
-            // Closed with bytes of ours unread.
-        }
+        socket.getInputStream().transferTo(bytes);
         return bytes.toString(StandardCharsets.UTF_8);
     }
 
+    @DataProvider
+    Object[][] lastAnswers() {
+        String length = "Content-Length: ";
+        return new Object[][] {
+            // What comes, the status, and what is sent before that answer is read.
+            {framed(length + (1 << 20), ""), 413, " ".repeat(1 << 17)}, {"nothing\r\n\r\n", 400, " ".repeat(1 << 17)},
+            {framed("Transfer-Encoding: gzip", ""), 501, " ".repeat(1 << 17)},
+            {post("/q", "panic", BODY), 500, post("/q", "t", BODY)},
+            {framed("Connection: close\r\n" + length + BODY.length(), BODY), 200, post("/q", "t", BODY)},
+            {framed(length + BODY.length(), BODY).replace("HTTP/1.1", "HTTP/1.0"), 200, post("/q", "t", BODY)},
+        };
+    }
+
+    /** A close over unread bytes resets the connection, and the answer that is on its way goes with it. */
+    @Test(dataProvider = "lastAnswers")
+    public void lastAnswerArrivesWhateverLiesUnreadBehindIt(String request, int status, String more) throws Exception {
+        atOnce = HIT;
+        try (Socket socket = connect(request + more)) {
+            String response = rest(socket);
+            assertTrue(response.matches("(?s)HTTP/1.[01] " + status + " .*"), response);
+            // The other side has shut its output and reads on: what is sent now does not reset it, and reaches nobody.
+            socket.getOutputStream().write(post("/q", "u", BODY).getBytes(StandardCharsets.UTF_8));
+            assertEquals(socket.getInputStream().read(), -1);
+        }
+        assertTrue(taken.stream().noneMatch(scan -> scan.id().equals("t") || scan.id().equals("u")), String.valueOf(taken));
+    }
+
+    @Test
+    public void connectionThatIsShutIsClosedAfterATimeOrSoManyBytes() throws Exception {
+        try (Socket silent = connect("nothing\r\n\r\n"); Socket loud = connect("nothing\r\n\r\n")) {
+            assertTrue(rest(silent).contains(" 400 "));
+            assertTrue(rest(loud).contains(" 400 "));
+            byte[] noise = new byte[64 * 1024];
+            assertThrows(IOException.class, () -> {
+                // Many times what is read and dropped, and what the buffers of both ends hold.
+                for (int i = 0; i < 1024; i++) {
+                    loud.getOutputStream().write(noise);
+                }
+            });
+            accepted(0);
+        }
+    }
+
+    /** A request that is whole in the system's buffer has been taken; its connection isn't idle, however long unread. */
+    @Test(dataProvider = "aged")
+    public void requestThatLiesUnreadWhenItsConnectionIsOldIsAnswered(String before, double age) throws Exception {
+        atOnce = HIT;
+        try (Socket socket = connect(before)) {
+            accepted(1);
+            if (!before.isEmpty()) {
+                response(socket);
+                settled();
+            }
+            // The loop stands still while the request comes and the time passes, and then sweeps before it reads.
+            var held = new CountDownLatch(1);
+            var free = new CountDownLatch(1);
+            loop.runOnContext(none -> {
+                held.countDown();
+                try {
+                    free.await(5, TimeUnit.SECONDS);
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+                server.sweep();
+            });
+            held.await();
+            socket.getOutputStream().write(post("/q", "t", BODY).getBytes(StandardCharsets.UTF_8));
+            now += age;
+            free.countDown();
+            assertTrue(response(socket).startsWith("HTTP/1.1 200 "));
+        }
+    }
+
+    @DataProvider
+    Object[][] aged() {
+        return new Object[][] {{"", 2600}, {post("/q", "s", BODY), 20_100}};
+    }
+
+    @DataProvider
+    Object[][] crowds() {
+        // How many requests stand in line behind the first, and how long each is.
+        return new Object[][] {{1, 0}, {12, 0}, {40, 0}, {3, 20_000}, {200, 100}};
+    }
+
+    /** Behind a request that waits the HTTP server reads no further, so it would see the close only once all were sent on. */
+    @Test(dataProvider = "crowds")
+    public void clientThatLeavesWhileItsRequestsStandInLineHasLeftAllOfThem(int behind, int longer) throws Exception {
+        var requests = new StringBuilder(post("/q", "s", BODY));
+        for (int i = 0; i < behind; i++) {
+            requests.append(post("/q", "behind" + i, BODY.replace("c4", "c4".repeat(1 + longer / 2))));
+        }
+        Socket socket = connect(requests.toString());
+        Scan scan = taken.poll(5, TimeUnit.SECONDS);
+        assertEquals(scan.id(), "s");
+        socket.close();
+        assertEquals(left.poll(5, TimeUnit.SECONDS), scan);
+        answer(scan, HIT);
+        accepted(0);
+        assertTrue(taken.isEmpty(), String.valueOf(taken));
+    }
+
+    @Test
+    public void whoSendsFarTooMuchAtOnceGetsOneAnswerAndNoMore() throws Exception {
+        try (Socket socket = connect(post("/q", "s", BODY) + post("/q", "t", BODY.replace("c4", "c4".repeat(2_000_000))))) {
+            Scan scan = taken.poll(5, TimeUnit.SECONDS);
+            // Read on until it was too much.
+            onLoop(() -> server.floods() > 0);
+            answer(scan, HIT);
+            String rest = rest(socket);
+            assertTrue(rest.startsWith("HTTP/1.1 200 ") && rest.contains("Connection: close"), rest);
+            assertTrue(taken.isEmpty(), String.valueOf(taken));
+        }
+    }
+
     @DataProvider
     Object[][] unfinished() {
         return new Object[][] {{""}, {"POST /q HT"}, {framed("Content-Length: 9", "{")},
@@ -360,7 +483,7 @@
         try (Socket other = connect(post("/q", "s", BODY))) {
             Scan scan = taken.poll(5, TimeUnit.SECONDS);
             try (Socket socket = connect(post("/q", "panic", BODY))) {
-                assertEquals(response(socket), "");
+                assertTrue(response(socket).startsWith("HTTP/1.1 500 "));
                 assertEquals(left.poll(5, TimeUnit.SECONDS).id(), "panic");
                 answer(scan, HIT);
                 assertTrue(response(other).startsWith("HTTP/1.1 200 "));
@@ -378,7 +501,7 @@
             try (Socket busy = connect(post("/q", "s", BODY))) {
                 taken.poll(5, TimeUnit.SECONDS);
                 Scan scan = taken.poll(5, TimeUnit.SECONDS);
-                vertx.runOnContext(none -> {
+                loop.runOnContext(none -> {
                     server.drain();
                     server.closeIdle();
                 });
