Write a part only while it may still run, however late its connection came up

Change: Dispatch.mayBeWritten(now) is asked right before each write: scan open, own time not over, no harm beside the part's other dispatches. d is the time that is left. The last 1,024 ids called off are known for good.

A test that wrote a part 60 ms after its patience now takes its scan then.

--- a/core/src/main/java/sprucehold/picker/Dispatch.java
+++ b/core/src/main/java/sprucehold/picker/Dispatch.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.function.BooleanSupplier;
+import java.util.stream.Stream;
 import sprucehold.port.Action;
 
 /** One sending of a part to a shard server. */
@@ -12,6 +13,8 @@
     final double patienceEndsAt;
     boolean out = true;
     boolean patienceOver;
+    /** It is over and surely never ran. */
+    boolean neverRan;
     private final ShardServer server;
     private final List<Action.Use> uses;
     private BooleanSupplier leave = () -> true;
@@ -58,11 +61,30 @@
     }
 
     /**
-     * Whether it may be written now. To be asked with nothing between the answer and the write: guards against a process that
-     * stood still after it had decided, and goes on as if nothing had been.
+     * Whether it may still be written at this moment. To be asked with nothing between the answer and the write. Guards against
+     * a connection that came up late, and a process that stood still after it had decided and goes on as if nothing had been:
+     * by then its scan may be over, its own time up, the time within which repeats are dropped past, or its leave withdrawn.
      */
-    public boolean mayBeWritten() {
-        return leave.getAsBoolean();
+    public boolean mayBeWritten(double nowMs) {
+        return out && !part.scan.over && nowMs < patienceEndsAt && mayRunBeside(nowMs) && leave.getAsBoolean();
+    }
+
+    /** Whether a run of it now does no harm beside the part's other dispatches that have run, or may have, or may yet. */
+    private boolean mayRunBeside(double nowMs) {
+        return switch (part.scan.type.repeat()) {
+            case REPLAYABLE -> true;
+            case KEYED -> others().allMatch(other -> nowMs <= other.sentAt + part.scan.type.keyedWindowMs());
+            case NON_REPLAYABLE -> others().findAny().isEmpty();
+        };
+    }
+
+    private Stream<Dispatch> others() {
+        return part.dispatches.stream().filter(other -> other != this && !other.neverRan);
+    }
+
+    /** How much of the time that its answer is waited for is left, in milliseconds; 0 or less once it is over. */
+    public double patienceLeftMs(double nowMs) {
+        return patienceEndsAt - nowMs;
     }
 
     /** How long its answer is waited for. */
--- a/core/src/main/java/sprucehold/picker/Picker.java
+++ b/core/src/main/java/sprucehold/picker/Picker.java
@@ -76,6 +76,7 @@
     public Orders change(double nowMs, Deployment deployment) {
         now = nowMs;
         take(deployment);
+        scans.values().forEach(open -> open.type = open.type.boundBy(deployment.tableTypes()));
         events.add(new Event.FactsChanged(deployment));
         decide(List.of());
         return orders();
@@ -127,7 +128,7 @@
             return orders();
         }
         double timeLeftMs = Math.min(scan.timeLeftMs(), mostMs);
-        var open = new OpenScan(scan, now + timeLeftMs);
+        var open = new OpenScan(scan, tableTypes.get(scan.tableType()), now + timeLeftMs);
         scans.put(scan.id(), open);
         ends.add(open);
         openParts += open.parts.size();
@@ -315,6 +316,7 @@
 
     private void ended(Dispatch dispatch, Ending ending, LoadReport load) {
         dispatch.out = false;
+        dispatch.neverRan = ending.provesNeverRan;
         events.add(new Event.DispatchEnded(dispatch.part.id, dispatch.number, ending, now - dispatch.sentAt, load));
         forget(dispatch.part);
     }
--- a/gatherer/src/main/java/sprucehold/shards/GathererFrame.java
+++ b/gatherer/src/main/java/sprucehold/shards/GathererFrame.java
@@ -10,12 +10,12 @@
     private GathererFrame() {
     }
 
-    /** One call: parts of one scan. */
-    static Buffer call(List<Dispatch> dispatches) {
+    /** One call: parts of one scan. What is waited for counts from its write, which a late connection puts off. */
+    static Buffer call(List<Dispatch> dispatches, double nowMs) {
         Buffer rest = Buffer.buffer();
         for (Dispatch dispatch : dispatches) {
             byte[] text = dispatch.scan().text();
-            long patience = Math.max(1, (long) dispatch.patienceMs());
+            long patience = Math.max(1, (long) dispatch.patienceLeftMs(nowMs));
             rest.appendString(dispatch.partId() + " " + dispatch.segment() + " d=" + patience + " " + text.length + "\n")
                     .appendBytes(text);
         }
--- a/gatherer/src/main/java/sprucehold/shards/ShardLink.java
+++ b/gatherer/src/main/java/sprucehold/shards/ShardLink.java
@@ -5,9 +5,11 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
+import java.util.Set;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import sprucehold.picker.Dispatch;
@@ -50,10 +52,13 @@
     /** Calls that wait for the connection to come up, each with parts of one scan. */
     private final Queue<List<Dispatch>> waiting = new ArrayDeque<>();
     private final Map<String, Flight> flights = new LinkedHashMap<>();
-    /** How long after its patience the answer to a part called off may still come: none is known to take longer. */
-    private static final double LATEST_MS = 30_000;
-    /** Parts called off whose answers may still come, and until when they may; earliest first. */
-    private final Map<String, Double> calledOff = new LinkedHashMap<>();
+    /**
+     * Parts called off whose answers may still come, the longest-standing first. A server that stood still for minutes answers
+     * all that it held, and that is no noise; so not time bounds them but their number.
+     */
+    private final Set<String> calledOff = new LinkedHashSet<>();
+    /** More than a server of the usual size runs and queues, for all gatherers together. */
+    private static final int MOST_CALLED_OFF = 1024;
     /** When each probe that has no answer yet was sent. */
     private final Queue<Double> probes = new ArrayDeque<>();
     /** Probes that wait for the connection to come up, and whether they ask for the load. */
@@ -114,7 +119,7 @@
         boolean blocked = socket != null && (doubtful || socket.writeQueueFull());
         return !over && !blocked && flights.size() + waitingParts + call.size() <= mostParts
                 && call.stream().noneMatch(dispatch -> flights.containsKey(dispatch.partId())
-                        || calledOff.containsKey(dispatch.partId()));
+                        || calledOff.contains(dispatch.partId()));
     }
 
     void send(List<Dispatch> call) {
@@ -127,10 +132,11 @@
     }
 
     private void write(List<Dispatch> waited) {
-        // While the call waited for the connection the list may have said that it drains, or its leave have run out.
+        // While the call waited for the connection the list may have said that it drains, or its time have run out.
+        double now = owner.now();
         var call = new ArrayList<Dispatch>();
         for (Dispatch dispatch : waited) {
-            if (!dispatch.mayBeWritten()) {
+            if (!dispatch.mayBeWritten(now)) {
                 owner.ended(dispatch, new Outcome.CalledOff(Progress.NOT_WRITTEN));
             } else if (dispatch.server().running()) {
                 call.add(dispatch);
@@ -141,10 +147,9 @@
         if (call.isEmpty()) {
             return;
         }
-        double now = owner.now();
         List<Flight> out = call.stream().map(dispatch -> new Flight(dispatch, now)).toList();
         out.forEach(flight -> flights.put(flight.dispatch.partId(), flight));
-        Future<Void> write = socket.write(GathererFrame.call(call));
+        Future<Void> write = socket.write(GathererFrame.call(call, now));
         out.forEach(flight -> flight.write = write);
         write.onFailure(failure -> out.forEach(flight -> {
             if (flights.remove(flight.dispatch.partId(), flight)) {
@@ -181,7 +186,10 @@
             return false;
         }
         flights.remove(dispatch.partId());
-        calledOff.put(dispatch.partId(), flight.writtenAt + dispatch.patienceMs() + LATEST_MS);
+        calledOff.add(dispatch.partId());
+        if (calledOff.size() > MOST_CALLED_OFF) {
+            calledOff.remove(calledOff.iterator().next());
+        }
         socket.write(GathererFrame.giveUp(dispatch.partId()));
         idle();
         owner.ended(dispatch, new Outcome.CalledOff(Progress.WRITTEN));
@@ -217,7 +225,7 @@
         }
         if (frame instanceof ShardFrame.Ended ended) {
             Flight flight = flights.remove(ended.partId());
-            if (flight == null && calledOff.remove(ended.partId()) == null) {
+            if (flight == null && !calledOff.remove(ended.partId())) {
                 unreadable("the end of a part that isn't out");
                 return;
             }
@@ -251,7 +259,6 @@
      */
     void sweep(double silenceMs, double idleMs) {
         double now = owner.now();
-        calledOff.values().removeIf(until -> until <= now);
         if (socket == null) {
             return;
         }
--- a/gatherer/src/test/java/sprucehold/shards/ShardServersTest.java
+++ b/gatherer/src/test/java/sprucehold/shards/ShardServersTest.java
@@ -23,6 +23,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
+import java.util.stream.Stream;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -51,6 +52,7 @@
     private NetServer server;
     private volatile double now;
     private volatile boolean panics;
+    private TableType.Repeat repeat;
     private BlockingQueue<Report> reports;
     private BlockingQueue<String> heard;
     private Context loop;
@@ -63,6 +65,7 @@
         heard = new LinkedBlockingQueue<>();
         now = 0;
         panics = false;
+        repeat = TableType.Repeat.REPLAYABLE;
     }
 
     @AfterMethod
@@ -84,9 +87,12 @@
                 .actualPort();
         shards = onLoop(() -> new ShardServers(vertx, new Connections(5000, 15_000, parts), callParts, false, () -> now,
                 this::reported));
-        var type = new TableType("q", TableType.Repeat.REPLAYABLE, 100, 1, 0, 0, 1, 1, 0);
-        picker = new Picker((time, events) -> events.stream().filter(Event.PartTaken.class::isInstance)
-                .map(event -> (Action) new Action.Dispatch(((Event.PartTaken) event).id(), "a", 240.9)).toList(),
+        var type = new TableType("q", repeat, 100, 1, 0, 150, 1, 1, 0);
+        picker = new Picker((time, events) -> events.stream().flatMap(event -> event instanceof Event.PartTaken part
+                ? Stream.of((Action) new Action.Dispatch(part.id(), "a", 240.9))
+                : event instanceof Event.Woken ? Stream.of(new Action.Dispatch("s.0", "a", 240.9))
+                : event instanceof Event.ScanTaken scan && scan.id().equals("over") ? Stream.of(new Action.Abandon("s"))
+                : Stream.of()).toList(),
                 new Deployment(1, "z", 5, 1, List.of(type), List.of(), new Deployment.Layout(1, 1, 1),
                         new Deployment.Limits(4, 1000, true, true, 0), new Deployment.ColdRule(1, 0, 1, 0),
                         Deployment.DispatchBudget.NONE, new Deployment.ListAccess(false, 0)));
@@ -111,7 +117,7 @@
         for (int segment = 0; segment < parts; segment++) {
             list.add(new Scan.Part(segment, 1.0 / parts));
         }
-        return picker.pick(0, new Scan(id, "q", null, 500, list, text.getBytes())).send();
+        return picker.pick(now, new Scan(id, "q", null, 500, list, text.getBytes())).send();
     }
 
     private <T> T onLoop(Callable<T> work) throws Exception {
@@ -152,6 +158,7 @@
             {"Es.0 maybe 0 -\n", "Faulty"}, {"Et.0 hit 5 -\nvalue", "Faulty"}, {"Es.00 hit 5 -\nvalue", "Faulty"},
             {"Es.0 hit 0x5 -\nvalue", "Faulty"}, {"Es.0 hit 5 -\nval\0ue", "Faulty"},
             {"Es.0 hit 5 -\nval\u00ffue", "Faulty"}, {"close", "Lost[progress=WRITTEN]"},
+            {"half", "Lost[progress=WRITTEN]"},
         };
     }
 
@@ -160,6 +167,8 @@
         start(32, 1, (socket, bytes) -> {
             if (frame.equals("close")) {
                 socket.close();
+            } else if (frame.equals("half")) {
+                socket.write(Buffer.buffer().appendIntLE(19).appendString("Es.0 hit 5 -\nva")).onComplete(done -> socket.close());
             } else {
                 answer(socket, frame);
             }
@@ -275,6 +284,42 @@
         assertEquals((int) onLoop(() -> shards.links()), 1);
     }
 
+    /** A server that stood still for minutes answers all that it held; none of that is noise. */
+    @Test
+    public void answerToAPartGivenUpLongAgoSpoilsNothingElse() throws Exception {
+        start(32, 1, (socket, bytes) -> {
+            if (bytes.contains("At.0")) {
+                answer(socket, "Es.0 hit 5 -\nvalue");
+                answer(socket, "Et.0 hit 5 -\nvalue");
+            }
+        });
+        List<Dispatch> first = dispatches("s", 1, "text");
+        send(first);
+        assertTrue(heard.poll(5, TimeUnit.SECONDS).contains("As.0"));
+        onLoop(() -> {
+            shards.callOff(first);
+            return null;
+        });
+        outcome(first.get(0));
+        // Swept as often as time passes, but never idle for so long that the link is closed.
+        now = 14_000;
+        List<Dispatch> between = dispatches("u", 1, "text");
+        send(between);
+        now = 90_000;
+        List<Dispatch> second = picker.pick(now, new Scan("t", "q", null, 500, List.of(new Scan.Part(0, 1)), new byte[4])).send();
+        onLoop(() -> {
+            shards.sweep(1e9);
+            shards.send(second);
+            return null;
+        });
+        Report.DispatchEnded ended;
+        do {
+            ended = (Report.DispatchEnded) reports.poll(5, TimeUnit.SECONDS);
+        } while (ended.dispatch() != second.get(0));
+        assertTrue(ended.outcome() instanceof Outcome.Completed, ended.toString());
+        assertEquals((int) onLoop(() -> shards.links()), 1);
+    }
+
     @Test
     public void partCalledOffBeforeTheConnectionIsUpIsNeverWritten() throws Exception {
         start(32, 1, (socket, bytes) -> { });
@@ -288,6 +333,89 @@
         assertTrue(heard.poll(5, TimeUnit.SECONDS).contains("As.1"));
     }
 
+    /** Has what was sent wait for its connection until so much time has passed and this was done. */
+    private void sendAndComeUpLate(List<Dispatch> dispatches, double at, Runnable meanwhile) throws Exception {
+        onLoop(() -> {
+            // Both in one task of the loop, so that the connection comes up after it.
+            shards.send(dispatches);
+            now = at;
+            meanwhile.run();
+            return null;
+        });
+    }
+
+    @DataProvider
+    Object[][] lateWrites() {
+        return new Object[][] {{0, "d=240 "}, {100, "d=140 "}, {239.95, "d=1 "}};
+    }
+
+    @Test(dataProvider = "lateWrites")
+    public void serverIsToldHowLongItsAnswerIsStillWaitedForWhenThePartIsWritten(double at, String told) throws Exception {
+        start(32, 1, (socket, bytes) -> { });
+        sendAndComeUpLate(dispatches("s", 1, "text"), at, () -> { });
+        String call = heard.poll(5, TimeUnit.SECONDS);
+        assertTrue(call.contains("As.0 0 " + told), call);
+    }
+
+    @DataProvider
+    Object[][] tooLate() {
+        return new Object[][] {
+            // When the connection is up, and what happened by then.
+            {241.0, "nothing"}, {100.0, "left"}, {100.0, "abandoned"},
+        };
+    }
+
+    /** The decisions may not be allowed to call anything off, or not have been woken in time. */
+    @Test(dataProvider = "tooLate")
+    public void nothingIsWrittenToAConnectionThatComesUpAfterThePartIsOver(double at, String happened) throws Exception {
+        start(32, 1, (socket, bytes) -> { });
+        List<Dispatch> sent = dispatches("s", 1, "text");
+        sendAndComeUpLate(sent, at, () -> {
+            switch (happened) {
+                case "left" -> picker.report(at, List.of(new Report.ClientLeft(sent.get(0).scan())));
+                case "abandoned" -> dispatches("over", 1, "text");
+                default -> { }
+            }
+        });
+        assertEquals(outcome(sent.get(0)), new Outcome.CalledOff(Progress.NOT_WRITTEN));
+        assertNull(heard.poll());
+    }
+
+    @DataProvider
+    Object[][] repeats() {
+        return new Object[][] {
+            // How the part may repeat, how its first dispatch ended, when the connection of the second is up, whether it goes out.
+            {TableType.Repeat.KEYED, new Outcome.Lost(Progress.WRITTEN), 149.0, true},
+            {TableType.Repeat.KEYED, new Outcome.Lost(Progress.WRITTEN), 151.0, false},
+            {TableType.Repeat.KEYED, null, 151.0, false},
+            {TableType.Repeat.KEYED, new Outcome.Lost(Progress.PARTLY_WRITTEN), 151.0, true},
+            {TableType.Repeat.KEYED, new Outcome.TurnedAway(null), 151.0, true},
+            {TableType.Repeat.REPLAYABLE, new Outcome.Lost(Progress.WRITTEN), 151.0, true},
+            {TableType.Repeat.NON_REPLAYABLE, new Outcome.Lost(Progress.PARTLY_WRITTEN), 100.0, true},
+            {TableType.Repeat.NON_REPLAYABLE, new Outcome.Lost(Progress.WRITTEN), 100.0, false},
+        };
+    }
+
+    /** A repeat was ordered inside the time in which repeats are dropped; its connection takes longer. */
+    @Test(dataProvider = "repeats")
+    public void repeatIsWrittenOnlyWhileItDoesNoHarm(TableType.Repeat kind, Outcome first, double at, boolean goes)
+            throws Exception {
+        repeat = kind;
+        start(32, 1, (socket, bytes) -> { });
+        Dispatch one = dispatches("s", 1, "text").get(0);
+        if (first != null) {
+            picker.report(1, List.of(new Report.DispatchEnded(one, first)));
+        }
+        List<Dispatch> sent = picker.tick(1).send();
+        sendAndComeUpLate(sent, at, () -> { });
+        if (goes) {
+            assertTrue(heard.poll(5, TimeUnit.SECONDS).contains("As.0"));
+        } else {
+            assertEquals(outcome(sent.get(0)), new Outcome.CalledOff(Progress.NOT_WRITTEN));
+            assertNull(heard.poll());
+        }
+    }
+
     @DataProvider
     Object[][] closedStates() {
         return new Object[][] {{ServerNews.State.DRAINING}, {ServerNews.State.GONE}};
@@ -335,6 +463,34 @@
         assertEquals((int) onLoop(() -> shards.links()), 2);
     }
 
+    /** Right after a start a wide scan needs a connection for nearly every part; answers that are due must not wait for all. */
+    @Test
+    public void dialsOfAWideScanAreSpreadOverPassesAndWhatIsOverMeanwhileIsNotDialledFor() throws Exception {
+        start(1, 1, (socket, bytes) -> { });
+        List<Dispatch> sent = dispatches("s", 30, "text");
+        int atOnce = onLoop(() -> {
+            shards.send(sent);
+            shards.callOff(sent.subList(28, 30));
+            return shards.links();
+        });
+        assertEquals(atOnce, 8);
+        assertEquals(outcome(sent.get(28)), new Outcome.CalledOff(Progress.NOT_WRITTEN));
+        assertEquals(outcome(sent.get(29)), new Outcome.CalledOff(Progress.NOT_WRITTEN));
+        for (int i = 0; i < 28; i++) {
+            assertTrue(heard.poll(5, TimeUnit.SECONDS) != null);
+        }
+        assertEquals((int) onLoop(() -> shards.links()), 28);
+        List<Dispatch> late = dispatches("t", 30, "text");
+        sendAndComeUpLate(late, 241, () -> { });
+        // All are over by then, and those that were put off were never dialled for.
+        for (int i = 0; i < 30; i++) {
+            var ended = (Report.DispatchEnded) reports.poll(5, TimeUnit.SECONDS);
+            assertEquals(ended.outcome(), new Outcome.CalledOff(Progress.NOT_WRITTEN));
+        }
+        assertEquals((int) onLoop(() -> shards.links()), 36);
+        assertNull(heard.poll());
+    }
+
     @Test
     public void sameIdGoesOutOnAnotherConnectionWhileItsFirstAnswerMayCome() throws Exception {
         start(32, 1, (socket, bytes) -> { });
