Check the list before listening, find a silent watch by glances, end as a state machine

Read: a gatherer served by a list of before until its first call was answered, though what the agent has counts as told from the first moment; a watch that had fallen silent was found after 21 s; after a reset the decisions ask again after up to 375 ms where 200 ms keep a watch.

Change: WatchPlan (pure): one long call is open all the time, a short one beside it every 2 s finds it silent; the first failure is asked again at once. The first call is for the whole list, and only then does it listen. Drain (pure) says how the process ends; told to end before it listens it never does; the hook stands before the listener. Without sockets the warm-up runs decisions and codecs alone.

--- a/gatherer/src/main/java/sprucehold/discovery/Watch.java
+++ b/gatherer/src/main/java/sprucehold/discovery/Watch.java
@@ -1,13 +1,18 @@
 package sprucehold.discovery;
 
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
 import java.util.logging.Level;
@@ -15,49 +20,49 @@
 import sprucehold.picker.Report;
 
 /**
- * Follows the list of shard servers: one call after another, each waiting for news. A call that fails is reported
- * and not repeated until {@link #ask} or, should nobody ask, until the longest wait between calls is over.
+ * Follows the list of shard servers over HTTP, as {@link WatchPlan} says. A call that fails is reported and not repeated until
+ * {@link #ask} or, should nobody ask, until the longest wait between calls is over.
  */
 public final class Watch {
     private static final Logger LOG = Logger.getLogger(Watch.class.getName());
-    /** How long discovery may keep a call; long, since what it holds back counts as told only after that. */
-    private static final int WAIT_MS = 20_000;
-    /** An answer on the way may take this long more. */
-    private static final int WAY_MS = 1000;
-    /** Well inside the 200 ms after which a watch is over. */
-    private static final int PAUSE_MS = 50;
 
     private final Vertx vertx;
     private final int cells;
-    private final long askWithinMs;
     private final DoubleSupplier clock;
     private final Consumer<Report> reports;
+    private final WatchPlan plan;
     private HttpClient client;
     private String host;
     private int port;
-    private long index = -1;
-    /** Counts the addresses: what a call to an earlier one brings is not heard. */
-    private int moves;
-    private boolean calling;
-    private boolean lost;
     private boolean stopped;
-    private long fallback = -1;
+    private long timer = -1;
+    private double timerAt = Double.POSITIVE_INFINITY;
+    /** Calls under way by their numbers; null while its connection isn't up. */
+    private final Map<Long, HttpClientRequest> calls = new HashMap<>();
+    /** Over once the first call is. */
+    private final Promise<Void> first = Promise.promise();
 
-    public Watch(Vertx vertx, String host, int port, int cells, double askWithinMs, DoubleSupplier clock,
+    /**
+     * @param cells how many cells there are
+     * @param asked whether the list comes only when asked for, so that each call costs the list service
+     * @param askWithinMs the longest wait between calls, in milliseconds
+     */
+    public Watch(Vertx vertx, String host, int port, int cells, boolean asked, double askWithinMs, DoubleSupplier clock,
             Consumer<Report> reports) {
         this.vertx = vertx;
         this.cells = cells;
-        this.askWithinMs = Math.max(1000, (long) askWithinMs);
         this.clock = clock;
         this.reports = reports;
+        this.plan = new WatchPlan(!asked, Math.max(1000, askWithinMs));
         address(host, port);
     }
 
     private void address(String newHost, int newPort) {
         host = newHost;
         port = newPort;
-        client = vertx.httpClientBuilder().with(new HttpClientOptions().setConnectTimeout(WAY_MS))
-                .with(new PoolOptions().setHttp1MaxSize(1))
+        // One connection for the call that waits, and one for the glances beside it.
+        client = vertx.httpClientBuilder().with(new HttpClientOptions().setConnectTimeout(WatchPlan.WAY_MS))
+                .with(new PoolOptions().setHttp1MaxSize(2))
                 .withConnectHandler(connection -> connection.exceptionHandler(
                         failure -> LOG.log(Level.FINE, "connection to discovery", failure)))
                 .build();
@@ -72,94 +77,106 @@
             return;
         }
         LOG.info("discovery is now at " + newHost + ":" + newPort);
-        moves++;
-        calling = false;
-        index = -1;
-        client.close();
+        HttpClient old = client;
         address(newHost, newPort);
-        ask();
+        carryOut(plan.moved(clock.getAsDouble()));
+        old.close();
     }
 
-    /** Begins after a version that is known, or with the whole list if none is (below 0). */
-    public void start(long knownIndex) {
-        index = knownIndex;
+    /**
+     * Begins with the whole list, which is answered at once: a version that is known from before may be another discovery's.
+     * Returns when that call is over, whether or not it brought a list.
+     */
+    public Future<Void> start() {
         ask();
+        return first.future();
     }
 
     /** Calls now unless a call is under way. */
     public void ask() {
-        if (calling || stopped) {
-            return;
+        if (!stopped) {
+            carryOut(plan.ask(clock.getAsDouble()));
         }
-        vertx.cancelTimer(fallback);
-        calling = true;
-        boolean watching = index >= 0;
-        String uri = watching ? "/discovery/hosts?after=" + index + "&wait_ms=" + WAIT_MS : "/discovery/hosts";
-        double calledAt = clock.getAsDouble();
-        int move = moves;
-        client.request(new RequestOptions().setMethod(HttpMethod.GET).setHost(host).setPort(port).setURI(uri)
-                        .setIdleTimeout(watching ? WAIT_MS + WAY_MS : 2 * WAY_MS))
-                .compose(request -> request.send()
-                        .compose(response -> response.statusCode() == 200 ? response.body()
-                                : Future.failedFuture("status " + response.statusCode())))
-                .onComplete(called -> {
-                    if (move != moves) {
-                        return;
-                    }
-                    if (called.succeeded()) {
-                        answered(called.result(), calledAt);
-                    } else {
-                        failed(called.cause().getMessage());
-                    }
-                });
     }
 
-    private void answered(Buffer body, double calledAt) {
-        ListNews news;
-        try {
-            news = ListNews.decode(body.getBytes(), cells);
-        } catch (ListNews.MalformedException e) {
-            failed(e.getMessage());
-            return;
+    private void carryOut(List<WatchPlan.Step> steps) {
+        for (WatchPlan.Step step : steps) {
+            if (step instanceof WatchPlan.Step.Ask ask) {
+                call(ask.call());
+            } else if (step instanceof WatchPlan.Step.Drop drop) {
+                HttpClientRequest request = calls.remove(drop.number());
+                if (request != null) {
+                    request.reset();
+                }
+            } else if (step instanceof WatchPlan.Step.Tell tell) {
+                reports.accept(new Report.ListCame(tell.news().complete(), tell.news().servers()));
+            } else if (step instanceof WatchPlan.Step.TellFailed failed) {
+                reports.accept(new Report.ListFailed());
+            } else if (step instanceof WatchPlan.Step.Note note) {
+                LOG.log(note.line().startsWith("the list is followed") ? Level.INFO : Level.WARNING, note.line());
+            }
         }
-        if (news.index() < index) {
-            // Whatever it is that discovery tells from now on, it isn't a change to the list that is held.
-            index = -1;
-            failed("its index went back");
+        arm();
+    }
+
+    private void arm() {
+        double at = stopped ? Double.POSITIVE_INFINITY : plan.dueAt();
+        if (at == timerAt) {
             return;
         }
-        calling = false;
-        if (lost) {
-            lost = false;
-            LOG.info("the list is followed again, at index " + news.index());
-        }
-        boolean nothingNew = news.index() == index && news.servers().isEmpty();
-        index = news.index();
-        if (!nothingNew) {
-            reports.accept(new Report.ListCame(news.complete(), news.servers()));
-        }
-        if (nothingNew && clock.getAsDouble() - calledAt < PAUSE_MS) {
-            vertx.setTimer(PAUSE_MS, timer -> ask());
-        } else {
-            ask();
+        vertx.cancelTimer(timer);
+        timerAt = at;
+        if (at < Double.POSITIVE_INFINITY) {
+            timer = vertx.setTimer(Math.max(1, (long) Math.ceil(at - clock.getAsDouble())), fired -> {
+                timerAt = Double.POSITIVE_INFINITY;
+                carryOut(plan.woken(clock.getAsDouble()));
+            });
         }
     }
 
-    private void failed(String why) {
-        calling = false;
-        if (stopped) {
+    private void call(WatchPlan.Call call) {
+        calls.put(call.number(), null);
+        String uri = call.after() < 0 ? "/discovery/hosts"
+                : "/discovery/hosts?after=" + call.after() + "&wait_ms=" + call.waitMs();
+        client.request(new RequestOptions().setMethod(HttpMethod.GET).setHost(host).setPort(port).setURI(uri)
+                        .setIdleTimeout(call.giveUpMs()))
+                .compose(request -> {
+                    if (!calls.containsKey(call.number())) {
+                        request.reset();
+                        return Future.failedFuture("dropped");
+                    }
+                    calls.put(call.number(), request);
+                    return request.send().compose(response -> response.statusCode() == 200 ? response.body()
+                            : Future.failedFuture("status " + response.statusCode()));
+                })
+                .onComplete(called -> ended(call, called.succeeded() ? called.result() : null,
+                        called.succeeded() ? null : String.valueOf(called.cause().getMessage())));
+    }
+
+    private void ended(WatchPlan.Call call, Buffer body, String failure) {
+        boolean known = calls.containsKey(call.number());
+        calls.remove(call.number());
+        if (stopped || !known) {
             return;
         }
-        if (!lost) {
-            lost = true;
-            LOG.warning("the list can't be followed and is kept as it is: " + why);
+        String why = failure;
+        ListNews news = null;
+        if (why == null) {
+            try {
+                news = ListNews.decode(body.getBytes(), cells);
+            } catch (ListNews.MalformedException e) {
+                why = e.getMessage();
+            }
         }
-        fallback = vertx.setTimer(askWithinMs, timer -> ask());
-        reports.accept(new Report.ListFailed());
+        double now = clock.getAsDouble();
+        carryOut(why == null ? plan.answered(now, call.number(), news) : plan.failed(now, call.number(), why));
+        first.tryComplete();
     }
 
     public void stop() {
         stopped = true;
+        arm();
         client.close();
+        first.tryComplete();
     }
 }
--- a/gatherer/src/main/java/sprucehold/node/Node.java
+++ b/gatherer/src/main/java/sprucehold/node/Node.java
@@ -70,11 +70,12 @@
     private final Set<String> coming = new HashSet<>();
     private final Context context;
     private boolean hasList;
-    /** How it ends, and since when it does; null while it serves. */
-    private Leave leave;
-    private double leavesAt;
-    /** Nobody should come any more: who still does is turned away, so that the end comes. */
-    private boolean closed;
+    /** How it ends; null while it serves. */
+    private Drain drain;
+    private Drain.Phase phase;
+    private Future<Void> ended;
+    /** Clients may come from now on; before, nothing is owed to anybody. */
+    private boolean listens;
     private long timer = -1;
     private double timerAt = Double.POSITIVE_INFINITY;
     private long scansTaken;
@@ -119,32 +120,50 @@
         this.shards = new ShardServers(vertx, seat.facts().connections(), deployment.layout().callParts(),
                 seat.facts().loadByProbe(), clock::now, this::report);
         this.watch = new Watch(vertx, seat.discovery().host(), seat.discovery().port(), deployment.layout().cells(),
-                deployment.listAccess().askWithinMs(), clock::now, this::report);
+                deployment.listAccess().mustAsk(), deployment.listAccess().askWithinMs(), clock::now, this::report);
         this.clients = new ClientServer(vertx, seat.facts().segments(), seat.sockets() / 2, this, clock::now);
         this.neighbours = beside.stream().map(one -> one.beside(vertx, seat, clock)).toList();
     }
 
-    /** Returns the port on which clients are served. */
+    /**
+     * Returns the port on which clients are served. It listens only once its list is checked: what it knows from before may be
+     * out of date, and what discovery's agent has counts as told from a process's first moment.
+     */
     Future<Integer> start() {
         LOG.info(seat.summary());
-        if (seat.known() != null) {
-            report(new Report.ListCame(true, seat.known().servers()));
-        }
-        if (seat.discovery().equals(Seat.Address.NONE)) {
-            watch.stop();
-        } else {
-            watch.start(seat.known() == null ? -1 : seat.known().index());
-        }
-        return openDoor().compose(opened -> Future.all(neighbours.stream().map(Neighbour::start).toList()))
-                .compose(begun -> clients.listen(seat.listen().socket())).map(server -> {
+        return firstList().compose(checked -> stillWanted()).compose(wanted -> openDoor())
+                .compose(opened -> Future.all(neighbours.stream().map(Neighbour::start).toList()))
+                .compose(begun -> stillWanted())
+                .compose(wanted -> {
+                    listens = true;
+                    return clients.listen(seat.listen().socket());
+                }).map(server -> {
             LOG.info("listening at " + seat.listen());
             return server.actualPort();
         });
     }
 
+    private Future<Void> stillWanted() {
+        return drain == null ? Future.succeededFuture() : Future.failedFuture("told to end before it listened");
+    }
+
+    /** Where discovery is silent, the list that is known from before is better than none. */
+    private Future<Void> firstList() {
+        boolean alone = seat.discovery().equals(Seat.Address.NONE);
+        if (alone) {
+            watch.stop();
+        }
+        return (alone ? Future.<Void>succeededFuture() : watch.start()).map(asked -> {
+            if (!hasList && seat.known() != null) {
+                report(new Report.ListCame(true, seat.known().servers()));
+            }
+            return null;
+        });
+    }
+
     @Override
     public boolean ready() {
-        return hasList && leave == null;
+        return hasList && drain == null;
     }
 
     @Override
@@ -161,12 +180,11 @@
     public void take(Scan scan) {
         scansTaken++;
         ScanLog.taken(scan);
-        if (closed) {
+        if (phase == Drain.Phase.TURNING_AWAY || phase == Drain.Phase.OVER) {
             clients.answer(scan, new Answer.Throttled(0));
             return;
         }
-        // An answer has to be out before the process may be killed.
-        double most = leave == null ? Double.POSITIVE_INFINITY : leave.timeLeftMs(clock.now() - leavesAt);
+        double most = drain == null ? Double.POSITIVE_INFINITY : drain.timeLeftMs(clock.now());
         coming.add(scan.id());
         neighbours.forEach(one -> one.taken(clock.now(), scan));
         if (changes != null) {
@@ -425,43 +443,35 @@
         watch.move(now.discovery().host(), now.discovery().port());
     }
 
-    /**
-     * Ends the gatherer once all it has taken is answered: it serves on for a while, then asks those it answers to
-     * go elsewhere, and then takes nothing more.
-     */
+    /** Ends the gatherer once nothing is owed to anybody, as {@link Drain} says; asked again, it ends no other way. */
     Future<Void> end(Leave how) {
+        if (drain != null) {
+            return ended;
+        }
         LOG.info("draining: " + picker.openScans() + " scans open, " + clients.connections() + " client connections");
-        leave = how;
+        drain = new Drain(how, clock.now());
+        phase = Drain.Phase.SERVING_ON;
         if (changes != null) {
             vertx.cancelTimer(slots);
             changes.ending(clock.now());
         }
-        leavesAt = clock.now();
-        return vertx.timer(how.serveMs()).compose(served -> {
-            clients.drain();
-            clients.closeIdle();
-            return how.closeMs() > how.serveMs() ? vertx.timer(how.closeMs() - how.serveMs())
-                    : Future.succeededFuture();
-        }).compose(lingered -> {
-            closed = true;
-            clients.closeIdle();
-            return answered();
-        }).compose(done -> clients.close()).compose(done -> closeDoor())
+        ended = (listens ? drained() : Future.<Void>succeededFuture()).compose(done -> clients.close()).compose(done -> closeDoor())
                 .compose(done -> Future.join(neighbours.stream().map(Neighbour::end).toList()).otherwiseEmpty()).map(closed -> {
             watch.stop();
             LOG.info("end: " + scansTaken + " scans taken, " + picker.openScans() + " left open");
             return null;
         });
+        return ended;
     }
 
-    private Future<Void> answered() {
-        if (picker.openScans() == 0 && clients.underWay() == 0) {
-            return Future.succeededFuture();
-        }
-        // No more than a scan's share of time is lost by looking again so soon.
-        return vertx.timer(10).compose(waited -> {
+    private Future<Void> drained() {
+        phase = drain.phase(clock.now(), new Drain.Owed(picker.openScans() + coming.size(), clients.underWay(),
+                clients.arriving()));
+        if (phase != Drain.Phase.SERVING_ON) {
+            clients.drain();
             clients.closeIdle();
-            return answered();
-        });
+        }
+        return phase == Drain.Phase.OVER ? Future.succeededFuture()
+                : vertx.timer(drain.lookAgainMs(clock.now())).compose(waited -> drained());
     }
 }
--- a/gatherer/src/main/java/sprucehold/node/Rehearsal.java
+++ b/gatherer/src/main/java/sprucehold/node/Rehearsal.java
@@ -28,6 +28,8 @@
             throw new Service.StartFailedException("no known list to stand in for");
         }
         WarmUp.run(seat, factory);
+        // Both ways of warming up, whichever the platform will grant: the archive of loaded classes is made of this run.
+        DryWarmUp.run(seat, factory);
         Vertx vertx = Service.vertx();
         var done = new CompletableFuture<Boolean>();
         vertx.runOnContext(none -> StandIns.start(vertx, HOST, 0, seat.known().servers(), true)
--- a/gatherer/src/main/java/sprucehold/node/Seat.java
+++ b/gatherer/src/main/java/sprucehold/node/Seat.java
@@ -57,7 +57,7 @@
         if (!node.path("settings").isObject()) {
             throw new MalformedFactsException("no settings");
         }
-        Facts facts = Facts.read(node.get("settings"));
+        Facts facts = Facts.checked(node.get("settings"));
         if (facts.deployment().tableTypes().stream().anyMatch(type -> type.secondStepParts() > 0)) {
             throw new MalformedFactsException("table types of two steps can't be served by this protocol");
         }
--- a/gatherer/src/main/java/sprucehold/node/Service.java
+++ b/gatherer/src/main/java/sprucehold/node/Service.java
@@ -1,5 +1,6 @@
 package sprucehold.node;
 
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import java.io.IOException;
@@ -9,6 +10,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import sprucehold.door.DoorPlan;
@@ -36,9 +38,16 @@
         WarmUp.run(seat, rehearsed);
         Vertx vertx = vertx();
         var started = new CompletableFuture<Node>();
+        var made = new AtomicReference<Node>();
+        // Before it listens: what it takes from its first moment on is owed an answer.
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            end(vertx, made, seat);
+            ended.run();
+        }, "end"));
         vertx.runOnContext(none -> {
             try {
                 var node = new Node(vertx, seat, factory, door, beside);
+                made.set(node);
                 node.start().onComplete(done -> started.complete(node), started::completeExceptionally);
             } catch (IOException | RuntimeException e) {
                 started.completeExceptionally(e);
@@ -46,10 +55,6 @@
         });
         Node node = await(started);
         Signals.onHangUp(() -> reseat(vertx, node, reread));
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            end(vertx, node, seat);
-            ended.run();
-        }, "end"));
     }
 
     /** One event loop for everything, and no more threads than must be. */
@@ -94,9 +99,13 @@
     }
 
     /** Runs on the hook's own thread, and only waits there for what the event loop does. */
-    private static void end(Vertx vertx, Node node, Seat seat) {
+    private static void end(Vertx vertx, AtomicReference<Node> made, Seat seat) {
         var ended = new CompletableFuture<Void>();
-        vertx.runOnContext(none -> node.end(Leave.within(seat.facts().longestTimeoutMs())).onComplete(ended::complete, ended::completeExceptionally));
+        vertx.runOnContext(none -> {
+            Node node = made.get();
+            (node == null ? Future.<Void>succeededFuture() : node.end(Leave.within(seat.facts().longestTimeoutMs())))
+                    .onComplete(ended::complete, ended::completeExceptionally);
+        });
         try {
             // Beyond the time at which it may be killed, for what was taken with more time left.
             ended.get((long) seat.facts().longestTimeoutMs() + 5000, TimeUnit.MILLISECONDS);
--- a/gatherer/src/main/java/sprucehold/node/WarmUp.java
+++ b/gatherer/src/main/java/sprucehold/node/WarmUp.java
@@ -8,6 +8,8 @@
 import io.vertx.core.net.NetSocket;
 import io.vertx.core.net.SocketAddress;
 import java.io.IOException;
+import java.net.StandardProtocolFamily;
+import java.nio.channels.SocketChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -27,7 +29,8 @@
 /**
  * Runs scans through a gatherer of its own before the real one listens, so that what serving needs is loaded and
  * compiled by then: a JVM that begins under load with a part of a core answers nothing in time for seconds. All
- * stays within the process: its sockets are files in a directory that nobody else knows, and go with it.
+ * stays within the process: its sockets are files in a directory that nobody else knows, and go with it. Where such
+ * sockets aren't granted, {@link DryWarmUp} does what goes without.
  */
 final class WarmUp {
     private static final Logger LOG = Logger.getLogger(WarmUp.class.getName());
@@ -53,6 +56,28 @@
         Logger all = Logger.getLogger("sprucehold");
         all.setLevel(Level.OFF);
         long begun = System.nanoTime();
+        int scans = 0;
+        try {
+            scans = withinTheProcess() ? overSockets(seat, factory) : 0;
+            scans = scans > 0 ? scans : DryWarmUp.run(seat, factory);
+        } catch (RuntimeException e) {
+            // Served cold then.
+        } finally {
+            all.setLevel(null);
+        }
+        LOG.info("warmed up by " + scans + " scans in " + (System.nanoTime() - begun) / 1_000_000 + " ms");
+    }
+
+    /** Whether sockets that stay within the process are granted. */
+    private static boolean withinTheProcess() {
+        try (var probe = SocketChannel.open(StandardProtocolFamily.UNIX)) {
+            return probe.isOpen();
+        } catch (IOException | UnsupportedOperationException e) {
+            return false;
+        }
+    }
+
+    private static int overSockets(Seat seat, Gatherer.Factory factory) {
         Path directory = null;
         var warmUp = new WarmUp(seat);
         try {
@@ -65,10 +90,9 @@
             Thread.currentThread().interrupt();
         } finally {
             warmUp.vertx.close().toCompletionStage().toCompletableFuture().join();
-            all.setLevel(null);
             remove(directory);
         }
-        LOG.info("warmed up by " + warmUp.asked + " scans in " + (System.nanoTime() - begun) / 1_000_000 + " ms");
+        return warmUp.asked;
     }
 
     private static void remove(Path directory) {
--- /dev/null
+++ b/gatherer/src/test/java/sprucehold/command/ServeEndTest.java
@@ -0,0 +1,108 @@
+package sprucehold.command;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.Test;
+
+/** The end of the process itself, by signals, as its clients see it. */
+public class ServeEndTest {
+    private final BlockingQueue<String> log = new LinkedBlockingQueue<>();
+
+    private Process start(Path config) throws IOException {
+        Process process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:TieredStopAtLevel=1", "-Xmx64m", "-cp", System.getProperty("java.class.path"),
+                "sprucehold.command.Main", "serve", "--config", config.toString()).redirectErrorStream(true).start();
+        var reader = new Thread(() -> {
+            try (var lines = new BufferedReader(new InputStreamReader(process.getInputStream()))) {
+                lines.lines().forEach(log::add);
+            } catch (IOException | RuntimeException e) {
+                log.add("log ended: " + e);
+            }
+        }, "log");
+        reader.setDaemon(true);
+        reader.start();
+        return process;
+    }
+
+    private void awaitLine(String part) throws InterruptedException {
+        String line;
+        do {
+            line = log.poll(60, TimeUnit.SECONDS);
+            assertTrue(line != null, "no line with: " + part);
+        } while (!line.contains(part));
+    }
+
+    private static void signal(Process process, String name) throws Exception {
+        assertEquals(new ProcessBuilder("kill", "-" + name, String.valueOf(process.pid())).start().waitFor(), 0);
+    }
+
+    /** Started with SIGHUP ignored, as under nohup, a JVM keeps it so. */
+    private static boolean ignoresHangUp(Process process) throws IOException {
+        String ignored = Files.readAllLines(Path.of("/proc/" + process.pid() + "/status")).stream()
+                .filter(line -> line.startsWith("SigIgn:")).findAny().orElseThrow().replaceAll(".*\\s", "");
+        return (Long.parseUnsignedLong(ignored, 16) & 1) != 0;
+    }
+
+    private static String ask(int port, String id) throws IOException {
+        String body = "{\"buckets\":[{\"bucket\":0,\"part\":1}],\"body\":\"c4\"}";
+        try (var socket = new Socket(InetAddress.getByName("127.0.0.1"), port)) {
+            socket.setSoTimeout(10_000);
+            socket.getOutputStream().write(("POST /q HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + id + "\r\nX-Class: q\r\n"
+                    + "X-Deadline-Ms: 3000\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
+                    .getBytes(StandardCharsets.UTF_8));
+            return new BufferedReader(new InputStreamReader(socket.getInputStream())).readLine();
+        }
+    }
+
+    @Test
+    public void whoComesAfterSigtermIsAnsweredAndFurtherSignalsChangeNothing() throws Exception {
+        int port;
+        try (var free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            port = free.getLocalPort();
+        }
+        Path config = Files.createTempFile("serve", ".json");
+        Files.writeString(config, "{\"name\":\"n\",\"listen\":\"127.0.0.1:" + port + "\",\"discovery\":\"127.0.0.1:1\",\"seed\":\"1\","
+                + "\"known\":{\"index\":7,\"snapshot\":true,\"endpoints\":[{\"name\":\"a\",\"address\":\"127.0.0.1:1\",\"group\":0,"
+                + "\"status\":\"active\"}]},\"settings\":{\"classes\":[{\"name\":\"q\",\"semantics\":\"retryable\",\"aimMs\":100,"
+                + "\"giveUpMs\":3000}],\"familyInfo\":{\"ranges\":1,\"sets\":1},\"limits\":{\"dialTimeoutMs\":250,"
+                + "\"idleCloseMs\":15000}}}");
+        Process process = start(config);
+        try {
+            awaitLine("listening at");
+            assertTrue(ask(port, "before").startsWith("HTTP/1.1 503"));
+            signal(process, "TERM");
+            awaitLine("draining");
+            // The configuration is read again, and the second SIGTERM finds the end under way.
+            if (!ignoresHangUp(process)) {
+                signal(process, "HUP");
+                awaitLine("SIGHUP");
+            }
+            signal(process, "TERM");
+            for (String id : List.of("one", "two")) {
+                String status = ask(port, id);
+                assertTrue(status != null && status.startsWith("HTTP/1.1 503"), status);
+            }
+            awaitLine("end: 3 scans taken, 0 left open");
+            assertTrue(process.waitFor(20, TimeUnit.SECONDS));
+            // 128 and the signal's number: nobody killed it.
+            assertEquals(process.exitValue(), 143);
+        } finally {
+            process.destroyForcibly();
+            Files.delete(config);
+        }
+    }
+}
--- /dev/null
+++ b/gatherer/src/test/java/sprucehold/discovery/WatchPlanTest.java
@@ -0,0 +1,225 @@
+package sprucehold.discovery;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** When each change of the list counts as told, and when the gatherer knows it, on a clock of its own. */
+public class WatchPlanTest {
+    private static final double WAY = 1;
+    /** The shortest grace of any deployment, within which a drain that was told may be overlooked. */
+    private static final double GRACE = 250;
+
+    private record Due(double at, long order, Runnable what) {
+    }
+
+    /** An agent of discovery, as the protocol and the standing test tell of it, and a gatherer's plan before it. */
+    private static final class Play {
+        private final PriorityQueue<Due> due = new PriorityQueue<>(
+                Comparator.comparingDouble(Due::at).thenComparingLong(Due::order));
+        private final WatchPlan plan;
+        private long orders;
+        private double now;
+        private long version = 1;
+        private boolean down;
+        private long moves;
+        private final Map<Long, WatchPlan.Call> waiting = new HashMap<>();
+        /** When each call was made, and since when those that have fallen silent are. */
+        private final Map<Long, Double> calledAt = new HashMap<>();
+        private final Map<Long, Double> silentSince = new HashMap<>();
+        final Map<Long, Double> knownAt = new HashMap<>();
+        double silencedCallAt = Double.NEGATIVE_INFINITY;
+        int calls;
+
+        Play(boolean pushed) {
+            plan = new WatchPlan(pushed, 10_000);
+        }
+
+        void at(double time, Runnable what) {
+            due.add(new Due(time, orders++, what));
+        }
+
+        private void carryOut(List<WatchPlan.Step> steps) {
+            for (WatchPlan.Step step : steps) {
+                if (step instanceof WatchPlan.Step.Ask ask) {
+                    calls++;
+                    long to = moves;
+                    calledAt.put(ask.call().number(), now);
+                    at(now + WAY, () -> arrive(ask.call(), to));
+                    at(now + ask.call().giveUpMs(), () -> end(ask.call().number(), () ->
+                            carryOut(plan.failed(now, ask.call().number(), "no answer"))));
+                } else if (step instanceof WatchPlan.Step.Drop drop) {
+                    waiting.remove(drop.number());
+                    calledAt.remove(drop.number());
+                } else if (step instanceof WatchPlan.Step.Tell tell) {
+                    for (long v = 1; v <= tell.news().index(); v++) {
+                        knownAt.putIfAbsent(v, now);
+                    }
+                } else if (step instanceof WatchPlan.Step.TellFailed) {
+                    // What the decisions do: they ask again after up to six seconds.
+                    at(now + 6000, () -> carryOut(plan.ask(now)));
+                }
+            }
+            double next = plan.dueAt();
+            if (next < Double.POSITIVE_INFINITY) {
+                at(Math.max(now, next), () -> carryOut(plan.woken(now)));
+            }
+        }
+
+        private void end(long number, Runnable how) {
+            if (calledAt.remove(number) != null) {
+                waiting.remove(number);
+                silentSince.remove(number);
+                how.run();
+            }
+        }
+
+        private void arrive(WatchPlan.Call call, long to) {
+            if (to != moves || !calledAt.containsKey(call.number())) {
+                return;
+            }
+            waiting.put(call.number(), call);
+            at(now + call.waitMs(), () -> answer(call.number(), true));
+            answer(call.number(), false);
+        }
+
+        private void answer(long number, boolean over) {
+            WatchPlan.Call call = waiting.get(number);
+            if (call == null || down || silentSince.containsKey(number) || !over && call.after() >= version) {
+                return;
+            }
+            long told = version;
+            waiting.remove(number);
+            at(now + WAY, () -> end(number, () -> carryOut(plan.answered(now, number,
+                    new ListNews(told, call.after() < 0, List.of())))));
+        }
+
+        private void answerAll() {
+            List.copyOf(waiting.keySet()).forEach(number -> answer(number, false));
+        }
+
+        void change() {
+            version++;
+            answerAll();
+        }
+
+        void silence() {
+            waiting.forEach((number, call) -> {
+                if (silentSince.putIfAbsent(number, now) == null && call.waitMs() > 1000) {
+                    silencedCallAt = calledAt.get(number);
+                }
+            });
+        }
+
+        void reset() {
+            List.copyOf(waiting.keySet()).forEach(number ->
+                    end(number, () -> carryOut(plan.failed(now, number, "reset"))));
+        }
+
+        void down(boolean is) {
+            down = is;
+            if (!is) {
+                answerAll();
+            }
+        }
+
+        void move() {
+            moves++;
+            waiting.clear();
+            calledAt.clear();
+            carryOut(plan.moved(now));
+        }
+
+        void run(double until) {
+            at(0, () -> carryOut(plan.ask(now)));
+            while (!due.isEmpty() && due.peek().at <= until) {
+                Due next = due.poll();
+                now = next.at;
+                next.what.run();
+            }
+        }
+    }
+
+    private static final double START = 30_000;
+
+    @DataProvider
+    Object[][] changes() {
+        var rows = new ArrayList<Object[]>();
+        // What happens (at START), how long after it the list changes, and how long after START that counts as told.
+        for (double after : new double[] {0, 1, 60, 199, 900, 2500, 5900, 7000, 20_500}) {
+            rows.add(new Object[] {"nothing", after, after});
+            rows.add(new Object[] {"reset", after, after});
+            // It fell silent: 6 s, or 2 s after its wait is over if that is later, which depends on when it was made.
+            rows.add(new Object[] {"silence", after, Math.max(6000, after)});
+            rows.add(new Object[] {"silence of all calls for a second", after, Math.max(6000, after)});
+            rows.add(new Object[] {"down for 8 s", after, Math.max(8000, after)});
+            rows.add(new Object[] {"down for 25 s", after, Math.max(25_000, after)});
+            rows.add(new Object[] {"silence and down for 8 s", after, Math.max(8000, after)});
+            rows.add(new Object[] {"move", after, Math.max(4000, after)});
+        }
+        return rows.toArray(Object[][]::new);
+    }
+
+    @Test(dataProvider = "changes")
+    public void eachChangeIsKnownByTheTimeItCountsAsToldAndItsGraceIsOver(String what, double after, double told) {
+        // Whatever the place in the rhythm of its calls at which it happens.
+        for (double phase = 0; phase < 2200; phase += 37) {
+            var play = new Play(true);
+            double start = START + phase;
+            play.at(start, () -> {
+                switch (what) {
+                    case "reset" -> play.reset();
+                    case "silence", "silence and down for 8 s" -> play.silence();
+                    case "move" -> play.move();
+                    default -> { }
+                }
+                if (what.contains("down")) {
+                    play.down(true);
+                    play.at(start + (what.contains("25") ? 25_000 : 8000), () -> play.down(false));
+                }
+            });
+            if (what.contains("of all")) {
+                for (double at = 0; at < 1000; at += 5) {
+                    play.at(start + at, play::silence);
+                }
+            }
+            play.at(start + after, play::change);
+            play.run(start + 60_000);
+            double known = play.knownAt.get(2L) - start;
+            double counts = what.startsWith("silence") ? Math.max(told, play.silencedCallAt + 22_000 - start) : told;
+            // Where a call had fallen silent before discovery was down, the next glance tells, a second later at most.
+            double slack = what.startsWith("silence and") ? WatchPlan.WAY_MS : GRACE;
+            assertTrue(known <= counts + slack, what + ", phase " + phase + ": known after " + known + " ms, told after " + counts);
+        }
+    }
+
+    @Test
+    public void glancesAreFewAndNoneWhereEachCallCosts() {
+        for (boolean pushed : new boolean[] {true, false}) {
+            var play = new Play(pushed);
+            play.run(60_000);
+            // The whole list, three long calls, and a glance every two seconds or none.
+            assertTrue(pushed ? play.calls >= 4 + 25 && play.calls <= 4 + 30 : play.calls == 4, String.valueOf(play.calls));
+        }
+    }
+
+    @Test
+    public void listThatGoesBackIsAskedForAnewAndWhole() {
+        var plan = new WatchPlan(true, 10_000);
+        plan.ask(0);
+        plan.answered(1, 1, new ListNews(9, true, List.of()));
+        plan.woken(2001);
+        List<WatchPlan.Step> steps = plan.answered(2002, 3, new ListNews(4, false, List.of()));
+        assertEquals(steps.get(0), new WatchPlan.Step.Drop(2));
+        assertTrue(steps.contains(new WatchPlan.Step.TellFailed("its index went back")), steps.toString());
+        assertEquals(((WatchPlan.Step.Ask) plan.ask(2010).get(0)).call().after(), -1);
+    }
+}
--- a/gatherer/src/test/java/sprucehold/discovery/WatchTest.java
+++ b/gatherer/src/test/java/sprucehold/discovery/WatchTest.java
@@ -5,11 +5,16 @@
 import static org.testng.Assert.assertThrows;
 import static org.testng.Assert.assertTrue;
 
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServerRequest;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.AfterMethod;
@@ -23,6 +28,7 @@
 public class WatchTest {
     private Vertx vertx;
     private Watch watch;
+    private int port;
     private BlockingQueue<Report> reports;
     private BlockingQueue<HttpServerRequest> calls;
 
@@ -31,9 +37,13 @@
         reports = new LinkedBlockingQueue<>();
         calls = new LinkedBlockingQueue<>();
         vertx = Vertx.vertx();
-        int port = vertx.createHttpServer().requestHandler(calls::add).listen(0, "127.0.0.1").toCompletionStage()
+        port = vertx.createHttpServer().requestHandler(calls::add).listen(0, "127.0.0.1").toCompletionStage()
                 .toCompletableFuture().get(5, TimeUnit.SECONDS).actualPort();
-        watch = new Watch(vertx, "127.0.0.1", port, 2, 60_000, () -> System.nanoTime() / 1e6, reports::add);
+        watch = watch(port, false);
+    }
+
+    private Watch watch(int at, boolean asked) {
+        return new Watch(vertx, "127.0.0.1", at, 2, asked, 60_000, () -> System.nanoTime() / 1e6, reports::add);
     }
 
     @AfterMethod
@@ -61,6 +71,32 @@
         return reports.poll(5, TimeUnit.SECONDS);
     }
 
+    /** Begins, and returns the call that waits for what is newer than version 41. */
+    private HttpServerRequest following() throws InterruptedException {
+        watch.start();
+        call("/discovery/hosts").response().end(list(41, true, endpoint("")));
+        assertTrue(report() instanceof Report.ListCame);
+        return call("/discovery/hosts?after=41&wait_ms=20000");
+    }
+
+    @Test
+    public void whatIsKnownFromBeforeIsCheckedByTheWholeListBeforeAnythingElse() throws Exception {
+        Future<Void> first = watch.start();
+        HttpServerRequest request = call("/discovery/hosts");
+        assertFalse(first.isComplete());
+        request.response().end(list(41, true, endpoint("")));
+        first.toCompletionStage().toCompletableFuture().get(5, TimeUnit.SECONDS);
+        assertTrue(report() instanceof Report.ListCame);
+    }
+
+    @Test
+    public void firstCallThatFailsIsOverAsWell() throws Exception {
+        Future<Void> first = watch.start();
+        call("/discovery/hosts").connection().close();
+        first.toCompletionStage().toCompletableFuture().get(5, TimeUnit.SECONDS);
+        assertTrue(report() instanceof Report.ListFailed);
+    }
+
     @DataProvider
     Object[][] malformed() {
         return new Object[][] {
@@ -110,7 +146,7 @@
 
     @Test
     public void newsComesAndTheNextCallAsksForWhatIsNewer() throws Exception {
-        watch.start(-1);
+        watch.start();
         call("/discovery/hosts").response().end(list(41, true, endpoint("")));
         assertTrue(((Report.ListCame) report()).complete());
         call("/discovery/hosts?after=41&wait_ms=20000").response().end(list(43, false, endpoint("")));
@@ -126,8 +162,7 @@
         var moved = new LinkedBlockingQueue<HttpServerRequest>();
         int port = vertx.createHttpServer().requestHandler(moved::add).listen(0, "127.0.0.1").toCompletionStage()
                 .toCompletableFuture().get(5, TimeUnit.SECONDS).actualPort();
-        watch.start(41);
-        HttpServerRequest old = call("/discovery/hosts?after=41&wait_ms=20000");
+        HttpServerRequest old = following();
         vertx.runOnContext(none -> watch.move("127.0.0.1", port));
         // The whole list, since the versions of the two need not go together.
         HttpServerRequest first = moved.poll(5, TimeUnit.SECONDS);
@@ -144,10 +179,62 @@
         return new Object[][] {{"status"}, {"malformed"}, {"closed"}, {"back"}};
     }
 
+    @Test
+    public void callThatHasFallenSilentIsFoundByAnotherBesideItAndMadeAnew() throws Exception {
+        HttpServerRequest silent = following();
+        var closed = new CompletableFuture<Void>();
+        silent.connection().closeHandler(none -> closed.complete(null));
+        call("/discovery/hosts?after=41&wait_ms=1").response().end(list(44, false, endpoint(",\"status\":\"leaving\"")));
+        assertEquals(((Report.ListCame) report()).servers().get(0).state(), ServerNews.State.DRAINING);
+        call("/discovery/hosts?after=44&wait_ms=20000");
+        closed.get(5, TimeUnit.SECONDS);
+        assertTrue(reports.isEmpty());
+    }
+
+    @Test
+    public void glanceWithoutAnAnswerSaysNothingOfTheCallThatWaits() throws Exception {
+        HttpServerRequest waits = following();
+        // Two in a row get no answer.
+        call("/discovery/hosts?after=41&wait_ms=1");
+        call("/discovery/hosts?after=41&wait_ms=1");
+        waits.response().end(list(42, false, endpoint("")));
+        assertTrue(report() instanceof Report.ListCame);
+        assertTrue(reports.isEmpty());
+    }
+
+    /** Whole as it reads, but without a length: whether more would have come nobody knows. A reset is no end. */
+    @Test
+    public void listWithoutLengthThatIsResetIsNoList() throws Exception {
+        try (var cutting = new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"))) {
+            watch.stop();
+            watch = watch(cutting.getLocalPort(), true);
+            Future<Void> first = watch.start();
+            try (Socket socket = cutting.accept()) {
+                socket.getInputStream().read();
+                socket.getOutputStream().write(("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n"
+                        + list(41, true, endpoint(""))).getBytes(StandardCharsets.UTF_8));
+                socket.setSoLinger(true, 0);
+            }
+            first.toCompletionStage().toCompletableFuture().get(5, TimeUnit.SECONDS);
+            assertTrue(report() instanceof Report.ListFailed);
+        }
+    }
+
+    @Test
+    public void callThatIsCutOffIsMadeAgainInTimeForItsWatchToGoOn() throws Exception {
+        HttpServerRequest cut = following();
+        long at = System.nanoTime();
+        cut.connection().close();
+        call("/discovery/hosts?after=41&wait_ms=20000");
+        assertTrue(report() instanceof Report.ListFailed);
+        assertTrue(System.nanoTime() - at < 5e9);
+    }
+
     @Test(dataProvider = "failures")
     public void failedCallIsToldAndRepeatedWhenAsked(String how) throws Exception {
-        watch.start(41);
-        HttpServerRequest request = call("/discovery/hosts?after=41&wait_ms=20000");
+        watch.stop();
+        watch = watch(port, true);
+        HttpServerRequest request = following();
         switch (how) {
             case "status" -> request.response().setStatusCode(500).end();
             case "malformed" -> request.response().end("{}");
--- a/gatherer/src/test/java/sprucehold/node/NodeTest.java
+++ b/gatherer/src/test/java/sprucehold/node/NodeTest.java
@@ -13,10 +13,12 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServerRequest;
 import java.io.BufferedReader;
 import java.io.File;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.net.ConnectException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -29,6 +31,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
@@ -48,6 +51,7 @@
 import sprucehold.port.Ending;
 import sprucehold.port.Event;
 import sprucehold.port.Gatherer;
+import sprucehold.port.Listing;
 import sprucehold.port.Others;
 import sprucehold.standin.StandIns;
 
@@ -151,6 +155,81 @@
         assertEquals(lines, List.of("q: 200 {\"finished\":true,\"found\":[{\"bucket\":0,\"item\":\"0:c41e77d0\"}]}"));
     }
 
+    /** What discovery's agent has counts as told from a process's first moment, so a list of before may already be forbidden. */
+    @Test
+    public void whatIsKnownFromBeforeIsCheckedBeforeAnythingIsTaken() throws Exception {
+        var calls = new LinkedBlockingQueue<HttpServerRequest>();
+        int discovery = await(vertx.createHttpServer().requestHandler(calls::add).listen(0, "127.0.0.1")).actualPort();
+        var lists = new LinkedBlockingQueue<Event.ListReceived>();
+        Gatherer.Factory factory = (seed, facts) -> (now, events) -> {
+            events.stream().filter(Event.ListReceived.class::isInstance).forEach(list -> lists.add((Event.ListReceived) list));
+            return List.of();
+        };
+        int free;
+        try (var socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            free = socket.getLocalPort();
+        }
+        Seat told = seat(PLACE, SETTINGS, KNOWN);
+        var seat = new Seat("n", new Seat.Address("127.0.0.1", free), new Seat.Address("127.0.0.1", discovery), 5,
+                told.sockets(), told.known(), told.facts());
+        var started = new CompletableFuture<Node>();
+        loop = vertx.getOrCreateContext();
+        loop.runOnContext(none -> {
+            var node = new Node(vertx, seat, factory);
+            node.start().onComplete(listening -> started.complete(node), started::completeExceptionally);
+        });
+        HttpServerRequest call = calls.poll(10, TimeUnit.SECONDS);
+        assertEquals(call.uri(), "/discovery/hosts");
+        assertThrows(ConnectException.class, () -> new Socket("127.0.0.1", free).close());
+        assertTrue(lists.isEmpty());
+        call.response().end("{\"index\":9,\"snapshot\":true,\"endpoints\":[{\"name\":\"a\",\"address\":\"127.0.0.1:8100\","
+                + "\"group\":0,\"status\":\"leaving\"}]}");
+        assertTrue(started.get(10, TimeUnit.SECONDS).ready());
+        Event.ListReceived list = lists.poll(10, TimeUnit.SECONDS);
+        assertEquals(list.servers().get(0).mode(), Listing.Mode.DRAINING);
+        assertTrue(lists.isEmpty());
+    }
+
+    @Test
+    public void gathererThatIsToldToEndBeforeItListensNeverListens() throws Exception {
+        var calls = new LinkedBlockingQueue<HttpServerRequest>();
+        int discovery = await(vertx.createHttpServer().requestHandler(calls::add).listen(0, "127.0.0.1")).actualPort();
+        Seat told = seat(PLACE, SETTINGS, KNOWN);
+        var seat = new Seat("n", told.listen(), new Seat.Address("127.0.0.1", discovery), 5, told.sockets(), told.known(),
+                told.facts());
+        var started = new CompletableFuture<Integer>();
+        var made = new CompletableFuture<Node>();
+        loop = vertx.getOrCreateContext();
+        loop.runOnContext(none -> {
+            var node = new Node(vertx, seat, (seed, facts) -> (now, events) -> List.of());
+            node.start().onComplete(started::complete, started::completeExceptionally);
+            made.complete(node);
+        });
+        HttpServerRequest call = calls.poll(10, TimeUnit.SECONDS);
+        Node node = made.get(10, TimeUnit.SECONDS);
+        var ended = new CompletableFuture<Void>();
+        loop.runOnContext(none -> node.end(new Leave(60_000, 60_000, 90_000)).onComplete(ended::complete, ended::completeExceptionally));
+        // Nothing is owed to anybody, so it doesn't serve on.
+        ended.get(10, TimeUnit.SECONDS);
+        call.response().end("{\"index\":9,\"snapshot\":true,\"endpoints\":[]}");
+        assertThrows(ExecutionException.class, () -> started.get(10, TimeUnit.SECONDS));
+        assertFalse(node.ready());
+    }
+
+    @Test
+    public void whoIsToldToEndTwiceEndsOnceAndAsItWasToldFirst() throws Exception {
+        Node node = node((seed, facts) -> (now, events) -> List.of(), PLACE, SETTINGS, KNOWN);
+        var ends = new CompletableFuture<Boolean>();
+        loop.runOnContext(none -> {
+            Future<Void> first = node.end(Leave.NOW);
+            ends.complete(first == node.end(new Leave(60_000, 60_000, 60_000)));
+        });
+        assertTrue(ends.get(10, TimeUnit.SECONDS));
+        var ended = new CompletableFuture<Void>();
+        loop.runOnContext(none -> node.end(Leave.NOW).onComplete(ended::complete, ended::completeExceptionally));
+        ended.get(10, TimeUnit.SECONDS);
+    }
+
     /** One that leaves so many dispatches their units, says that it withdraws them again, and tells what it is asked. */
     private static final class Lender implements Neighbour {
         final List<String> heard = new ArrayList<>();
@@ -301,6 +380,26 @@
         assertEquals(left, Set.of());
     }
 
+    @Test
+    public void withoutSocketsScansAreRunThroughDecisionsAndCodecs() throws Exception {
+        var parts = new AtomicInteger();
+        Gatherer.Factory factory = (seed, facts) -> (now, events) -> {
+            var actions = new ArrayList<Action>();
+            for (Event event : events) {
+                if (event instanceof Event.PartTaken part) {
+                    parts.incrementAndGet();
+                    actions.add(new Action.Dispatch(part.id(), "a0", 5000));
+                } else if (event instanceof Event.DispatchEnded ended && ended.ending() == Ending.COMPLETED) {
+                    actions.add(new Action.Answer(ended.partId().replaceAll("[.].*", ""), true));
+                }
+            }
+            return actions;
+        };
+        int answered = DryWarmUp.run(seat(PLACE, SETTINGS), factory);
+        assertEquals(answered, 8);
+        assertTrue(parts.get() >= 8 * 4, String.valueOf(parts));
+    }
+
     private static Set<String> files() {
         return new HashSet<>(List.of(new File(System.getProperty("java.io.tmpdir"))
                 .list((directory, name) -> name.startsWith("warm-up"))));
