Stop a start whose settings lack or contradict what is needed, naming the field

Need: absent numbers were read as 0 and text as 0, so a gatherer served by settings that nobody can serve by. Only fields without a sound default are asked for.

--- a/core/src/main/java/sprucehold/facts/Facts.java
+++ b/core/src/main/java/sprucehold/facts/Facts.java
@@ -20,6 +20,12 @@
 public record Facts(Deployment deployment, Connections connections, int segments, double longestTimeoutMs,
         List<Double> timeoutsMs, List<String> loadFields, boolean loadByProbe) {
 
+    /** The settings that a gatherer is to serve by; what they lack or contradict is one error that names the field. */
+    public static Facts checked(JsonNode settings) throws MalformedFactsException {
+        FactsCheck.check(settings);
+        return read(settings);
+    }
+
     public static Facts read(JsonNode settings) throws MalformedFactsException {
         JsonNode family = settings.path("familyInfo");
         JsonNode limits = settings.path("limits");
