--- a/rig/src/test/java/sprucehold/rig/RunTest.java
+++ b/rig/src/test/java/sprucehold/rig/RunTest.java
@@ -107,7 +107,7 @@
 
     @DataProvider
     Object[][] scripts() {
-        return new Object[][] {{"calm"}, {"one-killed"}, {"site-cut"}, {"grey"}, {"deaf"}};
+        return new Object[][] {{"calm"}, {"one-killed"}, {"site-cut"}, {"grey"}, {"deaf"}, {"restarts-among-hanging"}};
     }
 
     @Test(dataProvider = "scripts")
