--- a/gatherer/src/main/java/sprucehold/node/DryWarmUp.java
+++ b/gatherer/src/main/java/sprucehold/node/DryWarmUp.java
@@ -18,9 +18,9 @@
  * within itself: there the first scan after a start, interpreted, held the loop for half a second, and others were answered late.
  */
 final class DryWarmUp {
-    /** What is called for each part is compiled after some two hundred calls. */
-    private static final int SCANS = 8;
-    /** The widest scans that are rehearsed: twenty of them make two thousand parts. */
+    /** Two wide scans make two hundred parts, after which most of what is called for each is compiled; more starts later. */
+    private static final int SCANS = 3;
+    /** The widest scans that are rehearsed. */
     private static final int MOST_PARTS = 100;
 
     private DryWarmUp() {
