--- a/gatherer/src/main/java/sprucehold/shards/ShardServers.java
+++ b/gatherer/src/main/java/sprucehold/shards/ShardServers.java
@@ -6,13 +6,11 @@
 import io.vertx.core.net.NetClientOptions;
 import io.vertx.core.net.NetSocket;
 import io.vertx.core.net.SocketAddress;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Queue;
 import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
 import java.util.logging.Logger;
@@ -27,7 +25,6 @@
 public final class ShardServers {
     private static final Logger LOG = Logger.getLogger(ShardServers.class.getName());
 
-    private final Vertx vertx;
     private final NetClient client;
     private final Connections limits;
     private final int callParts;
@@ -35,15 +32,6 @@
     private final DoubleSupplier clock;
     private final Consumer<Report> reports;
     private final Map<ShardServer, Peer> peers = new HashMap<>();
-    /**
-     * How many connections are begun in one pass over the sockets. A scan of a hundred parts, met right after a start, would
-     * otherwise hold the loop with its dials for a tenth of a second, and answers that are due meanwhile would come late.
-     */
-    private static final int MOST_DIALS = 8;
-    /** Calls that wait for a later pass, and how many dials this one has left. */
-    private final Queue<List<Dispatch>> later = new ArrayDeque<>();
-    private int dialsLeft = MOST_DIALS;
-    private boolean passing;
 
     private final class Peer implements ShardLink.Owner {
         final ShardServer server;
@@ -86,25 +74,15 @@
             }
         }
 
-        /** An open link that can take the call, or null. */
-        ShardLink open(List<Dispatch> call) {
+        /** A link that can take the call: an open one or a new one. */
+        ShardLink link(List<Dispatch> call) {
             for (ShardLink link : links) {
                 if (link.address().equals(server.address()) && link.fits(call)) {
                     return link;
                 }
             }
-            return null;
-        }
-
-        /** A link that can take the call: an open one or a new one. */
-        ShardLink link(List<Dispatch> call) {
-            ShardLink open = open(call);
-            if (open != null) {
-                return open;
-            }
             var link = new ShardLink(this, server.address(), limits.parts());
             links.add(link);
-            dialsLeft--;
             link.dialled(dial(server.address()));
             return link;
         }
@@ -112,7 +90,6 @@
 
     public ShardServers(Vertx vertx, Connections limits, int callParts, boolean loadByProbe, DoubleSupplier clock,
             Consumer<Report> reports) {
-        this.vertx = vertx;
         this.limits = limits;
         this.callParts = callParts;
         this.loadByProbe = loadByProbe;
@@ -153,57 +130,19 @@
         calls.forEach((key, parts) -> {
             int most = Math.min(callParts, limits.parts());
             for (int from = 0; from < parts.size(); from += most) {
-                place(new ArrayList<>(parts.subList(from, Math.min(parts.size(), from + most))));
-            }
-        });
-    }
-
-    private void place(List<Dispatch> call) {
-        ShardServer server = call.get(0).server();
-        if (!server.running()) {
-            call.forEach(dispatch -> reports.accept(
-                    new Report.DispatchEnded(dispatch, new Outcome.Lost(Progress.NOT_WRITTEN))));
-            return;
-        }
-        Peer peer = peers.computeIfAbsent(server, Peer::new);
-        if (dialsLeft > 0 || peer.open(call) != null) {
-            peer.link(call).send(call);
-        } else {
-            later.add(call);
-        }
-        if (dialsLeft < MOST_DIALS && !passing) {
-            passing = true;
-            vertx.setTimer(1, timer -> pass());
-        }
-    }
-
-    /** Goes on with calls that were put off; what is over by now isn't dialled for. */
-    private void pass() {
-        passing = false;
-        dialsLeft = MOST_DIALS;
-        List<List<Dispatch>> calls = List.copyOf(later);
-        later.clear();
-        for (List<Dispatch> call : calls) {
-            call.removeIf(dispatch -> {
-                boolean over = !dispatch.mayBeWritten(clock.getAsDouble());
-                if (over) {
-                    reports.accept(new Report.DispatchEnded(dispatch, new Outcome.CalledOff(Progress.NOT_WRITTEN)));
+                List<Dispatch> call = parts.subList(from, Math.min(parts.size(), from + most));
+                if (!key.server.running()) {
+                    call.forEach(dispatch -> reports.accept(
+                            new Report.DispatchEnded(dispatch, new Outcome.Lost(Progress.NOT_WRITTEN))));
+                } else {
+                    peers.computeIfAbsent(key.server, Peer::new).link(call).send(call);
                 }
-                return over;
-            });
-            if (!call.isEmpty()) {
-                place(call);
             }
-        }
+        });
     }
 
     public void callOff(List<Dispatch> dispatches) {
         for (Dispatch dispatch : dispatches) {
-            if (later.stream().anyMatch(call -> call.remove(dispatch))) {
-                later.removeIf(List::isEmpty);
-                reports.accept(new Report.DispatchEnded(dispatch, new Outcome.CalledOff(Progress.NOT_WRITTEN)));
-                continue;
-            }
             Peer peer = peers.get(dispatch.server());
             boolean found = peer != null && List.copyOf(peer.links).stream().anyMatch(link -> link.callOff(dispatch));
             if (!found) {
