--- a/gatherer/src/main/java/sprucehold/clients/ClientConnections.java
+++ b/gatherer/src/main/java/sprucehold/clients/ClientConnections.java
@@ -215,6 +215,13 @@
         }
     }
 
+    /** The HTTP server itself ends it, as its client asked. */
+    void shutting(C connection) {
+        if (forget(connection)) {
+            shut.add(connection);
+        }
+    }
+
     /** It is closed. */
     void gone(C connection) {
         forget(connection);
--- a/gatherer/src/main/java/sprucehold/clients/ClientServer.java
+++ b/gatherer/src/main/java/sprucehold/clients/ClientServer.java
@@ -7,6 +7,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClosedException;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpMethod;
@@ -90,7 +91,7 @@
     private void opened(HttpConnection connection, HttpServerOptions options) {
         connection.exceptionHandler(failure -> LOG.log(Level.FINE, "client connection", failure));
         connection.closeHandler(none -> connections.gone(connection));
-        channel(connection).pipeline().addFirst(new LingeringClose(() -> flooded(connection)))
+        channel(connection).pipeline().addFirst(new LingeringClose(() -> flooded(connection), () -> connections.shutting(connection)))
                 .replace("httpDecoder", "httpDecoder", new StrictDecoder(options));
         if (connections.opened(connection) && !trimming) {
             trimming = true;
@@ -155,8 +156,12 @@
                 body.appendBuffer(bytes);
             }
         });
-        // Chunks that can't be read; the HTTP server closes the connection next.
-        request.exceptionHandler(failure -> last(request, 400, "not a body that can be read"));
+        // Chunks that can't be read; the HTTP server closes the connection next. A client that left needs no answer.
+        request.exceptionHandler(failure -> {
+            if (!(failure instanceof HttpClosedException)) {
+                last(request, 400, "not a body that can be read");
+            }
+        });
         request.endHandler(none -> {
             if (request.response().ended()) {
                 return;
--- a/gatherer/src/main/java/sprucehold/clients/DryClient.java
+++ b/gatherer/src/main/java/sprucehold/clients/DryClient.java
@@ -1,8 +1,10 @@
 package sprucehold.clients;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
-import io.netty.util.ReferenceCountUtil;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpRequest;
 import io.vertx.core.MultiMap;
 import io.vertx.core.http.HttpServerOptions;
 import java.nio.charset.StandardCharsets;
@@ -13,40 +15,31 @@
 public final class DryClient {
     private final EmbeddedChannel decoder = new EmbeddedChannel(new StrictDecoder(new HttpServerOptions()));
     private final ScanReader reader;
-    private final int segments;
-    private int asked;
 
     /** {@code segments} is how many segments there are. */
     public DryClient(int segments) {
-        this.segments = segments;
         this.reader = new ScanReader(segments);
     }
 
-    /** A scan of so many parts, read as one that came. */
-    public Scan scan(String tableType, int parts) {
-        var buckets = new StringBuilder();
-        for (int i = 0; i < parts; i++) {
-            buckets.append(i == 0 ? "" : ",").append("{\"bucket\":").append((asked + i) % segments).append(",\"part\":")
-                    .append(1.0 / parts).append('}');
+    /** Reads a request as one that came whole. */
+    public Scan read(String request) {
+        decoder.writeInbound(Unpooled.copiedBuffer(request, StandardCharsets.UTF_8));
+        HttpRequest head = decoder.readInbound();
+        ByteBuf body = Unpooled.buffer();
+        for (HttpContent content = decoder.readInbound(); content != null; content = decoder.readInbound()) {
+            body.writeBytes(content.content());
+            content.release();
         }
-        String body = "{\"buckets\":[" + buckets + "],\"body\":\"c41e77d0\"}";
-        String id = "warm-up-" + asked++;
-        decoder.writeInbound(Unpooled.copiedBuffer("POST /" + tableType + " HTTP/1.1\r\nHost: warm-up\r\nX-Request-Id: " + id
-                + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body, StandardCharsets.UTF_8));
-        for (Object read = decoder.readInbound(); read != null; read = decoder.readInbound()) {
-            ReferenceCountUtil.release(read);
-        }
-        MultiMap headers = MultiMap.caseInsensitiveMultiMap().add("X-Request-Id", id).add("X-Class", tableType)
-                .add("X-Tenant", "none").add("X-Deadline-Ms", "2000");
         try {
-            return reader.read(tableType, headers, body.getBytes(StandardCharsets.UTF_8), 0);
+            return reader.read(head.uri().substring(1), (MultiMap) head.headers(),
+                    body.toString(StandardCharsets.UTF_8).getBytes(StandardCharsets.UTF_8), 0);
         } catch (ScanReader.MalformedException e) {
             throw new IllegalStateException(e);
         }
     }
 
     /** Writes an answer as one that goes out, to nobody. */
-    public void answer(Answer answer) {
+    public void write(Answer answer) {
         if (answer instanceof Answer.Completed completed) {
             AnswerWriter.body(completed);
         }
--- a/gatherer/src/main/java/sprucehold/clients/LingeringClose.java
+++ b/gatherer/src/main/java/sprucehold/clients/LingeringClose.java
@@ -34,14 +34,17 @@
 
     /** Is told that more was sent at once than may wait, all of which is dropped. */
     private final Runnable flooded;
+    /** Is told when its close begins, whoever asked for it. */
+    private final Runnable shutting;
     private State state = State.OPEN;
     private ByteBuf held = Unpooled.EMPTY_BUFFER;
     private boolean delivering;
     private boolean flood;
     private int dropped;
 
-    LingeringClose(Runnable flooded) {
+    LingeringClose(Runnable flooded, Runnable shutting) {
         this.flooded = flooded;
+        this.shutting = shutting;
     }
 
     @Override
@@ -52,6 +55,7 @@
         }
         state = State.SHUT;
         dropHeld();
+        shutting.run();
         if (!ctx.channel().isActive() || !(ctx.channel() instanceof DuplexChannel)) {
             cut(ctx);
             return;
--- a/gatherer/src/main/java/sprucehold/discovery/Watch.java
+++ b/gatherer/src/main/java/sprucehold/discovery/Watch.java
@@ -113,7 +113,7 @@
             } else if (step instanceof WatchPlan.Step.TellFailed failed) {
                 reports.accept(new Report.ListFailed());
             } else if (step instanceof WatchPlan.Step.Note note) {
-                LOG.log(note.line().startsWith("the list is followed") ? Level.INFO : Level.WARNING, note.line());
+                LOG.log(note.trouble() ? Level.WARNING : Level.INFO, note.line());
             }
         }
         arm();
--- a/gatherer/src/main/java/sprucehold/discovery/WatchPlan.java
+++ b/gatherer/src/main/java/sprucehold/discovery/WatchPlan.java
@@ -32,9 +32,10 @@
      * @param number tells it from all others
      * @param after the version after which news is asked for; below 0 for the whole list
      * @param waitMs how long discovery may keep it, in milliseconds
-     * @param giveUpMs when it has failed for want of an answer, in milliseconds from now
+     * @param giveUpMs when it has failed for want of an answer, in milliseconds from its begin
+     * @param madeAt its begin
      */
-    record Call(long number, long after, int waitMs, int giveUpMs) {
+    record Call(long number, long after, int waitMs, int giveUpMs, double madeAt) {
     }
 
     /** What is to be done, in this order. */
@@ -55,8 +56,8 @@
         record TellFailed(String why) implements Step {
         }
 
-        /** To tell operators. */
-        record Note(String line) implements Step {
+        /** To tell operators; {@code trouble} if something is wrong, and not only over. */
+        record Note(boolean trouble, String line) implements Step {
         }
     }
 
@@ -65,9 +66,7 @@
     private long numbers;
     private long index = -1;
     private Call main;
-    private double mainAt;
     private Call glance;
-    private double glanceAt;
     /** When something is due of itself. */
     private double mainDueAt = Double.POSITIVE_INFINITY;
     private double glanceDueAt = Double.POSITIVE_INFINITY;
@@ -113,8 +112,8 @@
 
     private void open(double now) {
         mainDueAt = Double.POSITIVE_INFINITY;
-        mainAt = now;
-        main = index < 0 ? new Call(++numbers, -1, 0, 2 * WAY_MS) : new Call(++numbers, index, WAIT_MS, WAIT_MS + WAY_MS);
+        main = index < 0 ? new Call(++numbers, -1, 0, 2 * WAY_MS, now)
+                : new Call(++numbers, index, WAIT_MS, WAIT_MS + WAY_MS, now);
         steps.add(new Step.Ask(main));
         if (pushed && index >= 0 && glance == null) {
             glanceDueAt = Math.min(glanceDueAt, now + GLANCE_MS);
@@ -123,9 +122,9 @@
 
     /** A call was answered. */
     List<Step> answered(double now, long number, ListNews news) {
-        boolean long_ = main != null && number == main.number;
-        boolean short_ = glance != null && number == glance.number;
-        if (!long_ && !short_) {
+        boolean ofMain = main != null && number == main.number;
+        boolean ofGlance = glance != null && number == glance.number;
+        if (!ofMain && !ofGlance) {
             return List.of();
         }
         if (news.index() < index) {
@@ -135,24 +134,27 @@
             fail(now, "its index went back");
             return taken();
         }
-        boolean newer = news.index() > index || long_ && !news.servers().isEmpty();
+        boolean newer = news.index() > index || ofMain && !news.servers().isEmpty();
         index = news.index();
         if (lost) {
             lost = false;
-            steps.add(new Step.Note("the list is followed again, at index " + index));
+            steps.add(new Step.Note(false, "the list is followed again, at index " + index));
         }
         if (newer) {
             steps.add(new Step.Tell(news));
         }
         glanceDueAt = pushed ? now + GLANCE_MS : Double.POSITIVE_INFINITY;
-        if (short_) {
+        if (ofGlance) {
             glance = null;
-            if (newer && main != null) {
-                steps.add(new Step.Note("a call for the list had fallen silent and is made anew, at index " + index));
+            if (main == null) {
+                // It waited to be made again, and discovery answers.
+                open(now);
+            } else if (newer) {
+                steps.add(new Step.Note(true, "a call for the list had fallen silent and is made anew, at index " + index));
                 steps.add(new Step.Drop(main.number));
                 open(now);
             }
-        } else if (!newer && now - mainAt < PAUSE_MS) {
+        } else if (!newer && now - main.madeAt < PAUSE_MS) {
             main = null;
             mainDueAt = now + PAUSE_MS;
         } else {
@@ -168,8 +170,8 @@
             fail(now, why);
         } else if (glance != null && number == glance.number) {
             // Again at once, but never more than one in the time that an answer may take.
+            glanceDueAt = Math.max(now + PAUSE_MS, glance.madeAt + WAY_MS);
             glance = null;
-            glanceDueAt = Math.max(now + PAUSE_MS, glanceAt + WAY_MS);
         }
         return taken();
     }
@@ -178,7 +180,7 @@
         boolean again = pushed && !lost;
         if (!lost) {
             lost = true;
-            steps.add(new Step.Note("the list can't be followed and is kept as it is: " + why));
+            steps.add(new Step.Note(true, "the list can't be followed and is kept as it is: " + why));
         }
         // Within 200 ms the watch goes on as if nothing had been. Only once, and not where a call costs the list service.
         mainDueAt = now + (again ? PAUSE_MS : fallbackMs);
@@ -192,8 +194,7 @@
         }
         if (glance == null && now >= glanceDueAt) {
             glanceDueAt = Double.POSITIVE_INFINITY;
-            glanceAt = now;
-            glance = new Call(++numbers, index, GLANCE_WAIT_MS, WAY_MS);
+            glance = new Call(++numbers, index, GLANCE_WAIT_MS, WAY_MS, now);
             steps.add(new Step.Ask(glance));
         }
         return taken();
--- a/gatherer/src/test/java/sprucehold/discovery/WatchPlanTest.java
+++ b/gatherer/src/test/java/sprucehold/discovery/WatchPlanTest.java
@@ -222,4 +222,18 @@
         assertTrue(steps.contains(new WatchPlan.Step.TellFailed("its index went back")), steps.toString());
         assertEquals(((WatchPlan.Step.Ask) plan.ask(2010).get(0)).call().after(), -1);
     }
+
+    /** The decisions may wait for seconds before they ask again. */
+    @Test
+    public void glanceThatIsAnsweredHasTheLongCallMadeAgainAtOnce() {
+        var plan = new WatchPlan(true, 10_000);
+        plan.ask(0);
+        plan.answered(1, 1, new ListNews(9, true, List.of()));
+        plan.failed(1000, 2, "reset");
+        plan.woken(1050);
+        plan.failed(1100, 3, "refused");
+        plan.woken(2100);
+        List<WatchPlan.Step> steps = plan.answered(2101, 4, new ListNews(9, false, List.of()));
+        assertEquals(steps.get(steps.size() - 1), new WatchPlan.Step.Ask(new WatchPlan.Call(5, 9, 20_000, 21_000, 2101)));
+    }
 }
