--- a/gatherer/src/main/java/sprucehold/command/Main.java
+++ b/gatherer/src/main/java/sprucehold/command/Main.java
@@ -30,13 +30,31 @@
 
     public static void main(String[] args) {
         prepareLog();
-        int exit = commandLine().execute(args);
+        int exit = args.length == 1 && args[0].equals("serve") && Serve.byEnvironmentAlone() ? serve()
+                : commandLine().execute(args);
         // A command that serves has returned, and its event loop keeps the process.
         if (exit != CommandLine.ExitCode.OK) {
             System.exit(exit);
         }
     }
 
+    /**
+     * Serves as the environment says. The library that reads options is compiled for a JVM so old that no archive of loaded
+     * classes takes it in: its 190 classes are loaded and verified at each start, a quarter of a second on half a core.
+     */
+    private static int serve() {
+        try {
+            return Serve.ofEnvironment().call();
+        } catch (IOException | Service.StartFailedException e) {
+            return failed(e);
+        }
+    }
+
+    private static int failed(Exception e) {
+        System.err.println("sprucehold: " + (e instanceof NoSuchFileException ? "no such file: " + e.getMessage() : e.getMessage()));
+        return CommandLine.ExitCode.SOFTWARE;
+    }
+
     /** Sets the log's form; to be called before the first logger is made. */
     public static void prepareLog() {
         System.setProperty("java.util.logging.manager", ServiceLogManager.class.getName());
@@ -53,11 +71,7 @@
             System.err.println("sprucehold: " + e.getMessage());
             return CommandLine.ExitCode.USAGE;
         });
-        line.setExecutionExceptionHandler((e, command, parsed) -> {
-            String message = e instanceof NoSuchFileException ? "no such file: " + e.getMessage() : e.getMessage();
-            System.err.println("sprucehold: " + message);
-            return CommandLine.ExitCode.SOFTWARE;
-        });
+        line.setExecutionExceptionHandler((e, command, parsed) -> failed(e));
         return line;
     }
 
@@ -120,6 +134,27 @@
                 + "$SPRUCEHOLD_LOG_SCANS, or not)")
         private boolean logScans;
 
+        /** Whether nothing is asked for but what the environment says of where it stands. */
+        static boolean byEnvironmentAlone() {
+            return given("EDGE_CONFIG") && !given("SPRUCEHOLD_RECORDING") && !given("SPRUCEHOLD_LOG_SCANS");
+        }
+
+        private static boolean given(String name) {
+            return System.getenv(name) != null && !System.getenv(name).isEmpty();
+        }
+
+        /** As the options' own defaults have it. */
+        static Serve ofEnvironment() {
+            var serve = new Serve();
+            serve.log = LogForm.text;
+            serve.place = new Place();
+            serve.place.config = Path.of(System.getenv("EDGE_CONFIG"));
+            serve.place.name = System.getenv("EDGE_NAME");
+            serve.place.listen = System.getenv("EDGE_LISTEN");
+            serve.place.discovery = System.getenv("EDGE_DISCOVERY");
+            return serve;
+        }
+
         @Override
         public Integer call() throws IOException, Service.StartFailedException {
             if (log == LogForm.json) {
--- a/gatherer/src/main/java/sprucehold/node/DryWarmUp.java
+++ b/gatherer/src/main/java/sprucehold/node/DryWarmUp.java
@@ -6,11 +6,9 @@
 import sprucehold.picker.Orders;
 import sprucehold.picker.Picker;
 import sprucehold.picker.Report;
-import sprucehold.picker.Scan;
 import sprucehold.picker.ServerNews;
 import sprucehold.port.Deployment;
 import sprucehold.port.Gatherer;
-import sprucehold.port.TableType;
 import sprucehold.shards.DryServers;
 
 /**
@@ -29,10 +27,10 @@
     /** Returns how many scans were answered. */
     static int run(Seat seat, Gatherer.Factory factory) {
         Deployment deployment = seat.facts().deployment();
-        int segments = seat.facts().segments();
         var picker = new Picker(factory.start(seat.seed(), deployment), deployment);
-        var clients = new DryClient(segments);
+        var clients = new DryClient(seat.facts().segments());
         var servers = new DryServers();
+        var scans = new WarmUpScans(seat);
         var list = new ArrayList<ServerNews>();
         for (int cell = 0; cell < deployment.layout().cells(); cell++) {
             for (String holder : List.of("a", "b")) {
@@ -42,9 +40,7 @@
         double now = 1;
         int answered = carry(picker.report(now, List.of(new Report.ListCame(true, list))), clients);
         for (int i = 0; i < SCANS; i++) {
-            List<TableType> types = deployment.tableTypes();
-            Scan scan = clients.scan(types.get(i % types.size()).name(), Math.min(segments, i % 2 == 0 ? MOST_PARTS : 5));
-            Orders orders = picker.pick(now, scan);
+            Orders orders = picker.pick(now, clients.read(scans.next(i % 2 == 0 ? MOST_PARTS : 5)));
             answered += carry(orders, clients);
             // A scan that takes longer than so many rounds is left to its time.
             for (int round = 0; round < 8 && picker.openScans() > 0; round++) {
@@ -58,7 +54,7 @@
     }
 
     private static int carry(Orders orders, DryClient clients) {
-        orders.replies().forEach(reply -> clients.answer(reply.answer()));
+        orders.replies().forEach(reply -> clients.write(reply.answer()));
         return orders.replies().size();
     }
 }
--- a/gatherer/src/main/java/sprucehold/node/WarmUp.java
+++ b/gatherer/src/main/java/sprucehold/node/WarmUp.java
@@ -23,7 +23,6 @@
 import sprucehold.discovery.ListNews;
 import sprucehold.picker.ServerNews;
 import sprucehold.port.Gatherer;
-import sprucehold.port.TableType;
 import sprucehold.standin.StandIns;
 
 /**
@@ -44,10 +43,11 @@
 
     private final Vertx vertx = Service.vertx();
     private final Seat seat;
-    private int asked;
+    private final WarmUpScans scans;
 
     private WarmUp(Seat seat) {
         this.seat = seat;
+        this.scans = new WarmUpScans(seat);
     }
 
     /** Returns when it is done; whatever goes wrong, only the time is lost. */
@@ -92,7 +92,7 @@
             warmUp.vertx.close().toCompletionStage().toCompletableFuture().join();
             remove(directory);
         }
-        return warmUp.asked;
+        return warmUp.scans.asked();
     }
 
     private static void remove(Path directory) {
@@ -135,7 +135,7 @@
 
     /** Asks one scan after the other, some on each connection. */
     private Future<Void> ask(NetClient client, SocketAddress at) {
-        if (asked >= SCANS) {
+        if (scans.asked() >= SCANS) {
             return Future.succeededFuture();
         }
         return client.connect(at).compose(socket -> {
@@ -160,18 +160,6 @@
     }
 
     private void next(NetSocket socket) {
-        asked++;
-        List<TableType> types = seat.facts().deployment().tableTypes();
-        TableType type = types.get(asked % types.size());
-        int parts = 1 + asked % Math.min(6, seat.facts().segments());
-        var buckets = new StringBuilder();
-        for (int i = 0; i < parts; i++) {
-            buckets.append(i == 0 ? "" : ",").append("{\"bucket\":").append((asked + i) % seat.facts().segments())
-                    .append(",\"part\":").append(1.0 / parts).append('}');
-        }
-        String body = "{\"buckets\":[" + buckets + "],\"body\":\"c41e77d0\"}";
-        socket.write(Buffer.buffer("POST /" + type.name() + " HTTP/1.1\r\nHost: warm-up\r\nX-Request-Id: warm-up-" + asked
-                + "\r\nX-Class: " + type.name() + "\r\nX-Tenant: none\r\nX-Deadline-Ms: 2000\r\nContent-Length: "
-                + body.length() + "\r\n\r\n" + body));
+        socket.write(Buffer.buffer(scans.next(1 + scans.asked() % 6)));
     }
 }
