--- a/core/src/main/java/sprucehold/picker/Orders.java
+++ b/core/src/main/java/sprucehold/picker/Orders.java
@@ -13,7 +13,7 @@
  * @param notes lines for the operators' log
  * @param nextTickAtMs when to tick next, infinite if there is no need
  */
-public record Orders(List<Dispatch> callOff, List<Dispatch> send, List<Reply> replies, List<ShardServer> probe,
+public record Orders(List<Dispatch> cancel, List<Dispatch> send, List<Reply> replies, List<ShardServer> probe,
         List<Action.Use> uses, boolean askList, List<String> notes, double nextTickAtMs) {
 
     /** The final answer of a scan, and why it is this one: {@link Reason#UNSTATED} where the decisions had no say. */
--- a/core/src/main/java/sprucehold/picker/Outcome.java
+++ b/core/src/main/java/sprucehold/picker/Outcome.java
@@ -18,6 +18,6 @@
     }
 
     /** It was called off, as ordered. */
-    record CalledOff(Progress progress) implements Outcome {
+    record Cancelled(Progress progress) implements Outcome {
     }
 }
--- a/core/src/main/java/sprucehold/picker/Picker.java
+++ b/core/src/main/java/sprucehold/picker/Picker.java
@@ -50,7 +50,7 @@
     private double wakeAt = Double.POSITIVE_INFINITY;
 
     private double now;
-    private List<Dispatch> callOff = new ArrayList<>();
+    private List<Dispatch> cancel = new ArrayList<>();
     private List<Dispatch> send = new ArrayList<>();
     private List<Orders.Reply> replies = new ArrayList<>();
     private List<ShardServer> probe = new ArrayList<>();
@@ -180,7 +180,7 @@
             Dispatch dispatch = patience.poll();
             if (dispatch.out && !dispatch.patienceOver) {
                 dispatch.patienceOver = true;
-                callOff(dispatch);
+                cancel(dispatch);
             }
         }
         // The decisions end each scan before its time is up; only after a panic one may be left over.
@@ -206,8 +206,8 @@
         }
         double next = Math.min(wakeAt, ends.isEmpty() ? Double.POSITIVE_INFINITY : ends.peek().endsAt);
         next = Math.min(next, patience.isEmpty() ? Double.POSITIVE_INFINITY : patience.peek().patienceEndsAt);
-        var orders = new Orders(callOff, send, replies, probe, uses, askList, notes, next);
-        callOff = new ArrayList<>();
+        var orders = new Orders(cancel, send, replies, probe, uses, askList, notes, next);
+        cancel = new ArrayList<>();
         send = new ArrayList<>();
         replies = new ArrayList<>();
         probe = new ArrayList<>();
@@ -247,7 +247,7 @@
         } else if (action instanceof Action.Cancel cancel) {
             OpenPart part = parts.get(cancel.partId());
             if (part != null && cancel.number() < part.dispatches.size()) {
-                callOff(part.dispatches.get(cancel.number()));
+                cancel(part.dispatches.get(cancel.number()));
             } else {
                 events.add(new Event.DispatchEnded(cancel.partId(), cancel.number(), Ending.NEVER_SENT, 0, null));
             }
@@ -292,14 +292,14 @@
         }
     }
 
-    private void callOff(Dispatch dispatch) {
+    private void cancel(Dispatch dispatch) {
         if (!dispatch.out) {
             return;
         }
         if (send.remove(dispatch)) {
             ended(dispatch, Ending.NEVER_SENT, null);
-        } else if (!callOff.contains(dispatch)) {
-            callOff.add(dispatch);
+        } else if (!cancel.contains(dispatch)) {
+            cancel.add(dispatch);
         }
     }
 
@@ -331,7 +331,7 @@
             return Ending.FULL;
         } else if (outcome instanceof Outcome.Lost lost) {
             return lost.progress() == Progress.WRITTEN ? Ending.RESET : Ending.UNCONNECTED;
-        } else if (((Outcome.CalledOff) outcome).progress() != Progress.WRITTEN) {
+        } else if (((Outcome.Cancelled) outcome).progress() != Progress.WRITTEN) {
             return Ending.NEVER_SENT;
         }
         return patienceOver ? Ending.TIMED_OUT : Ending.CANCELLED;
@@ -354,7 +354,7 @@
     /** Ends a scan that the decisions failed on. */
     private void abandon(OpenScan open) {
         reply(open, new Answer.Abandoned(), Reason.UNSTATED);
-        open.parts.forEach(part -> List.copyOf(part.dispatches).forEach(this::callOff));
+        open.parts.forEach(part -> List.copyOf(part.dispatches).forEach(this::cancel));
         events.add(new Event.ClientLeft(open.scan.id()));
     }
 
@@ -366,7 +366,7 @@
         open.parts.forEach(this::forget);
         for (Dispatch dispatch : List.copyOf(send)) {
             if (dispatch.part.scan == open) {
-                callOff(dispatch);
+                cancel(dispatch);
             }
         }
     }
--- a/core/src/main/java/sprucehold/picker/Report.java
+++ b/core/src/main/java/sprucehold/picker/Report.java
@@ -20,7 +20,7 @@
     record ListFailed() implements Report {
     }
 
-    /** The end of a probe; {@code outcome} is never {@link Outcome.CalledOff}. */
+    /** The end of a probe; {@code outcome} is never {@link Outcome.Cancelled}. */
     record ProbeEnded(ShardServer server, Outcome outcome, double tookMs) implements Report {
     }
 }
--- a/core/src/test/java/sprucehold/picker/PickerTest.java
+++ b/core/src/test/java/sprucehold/picker/PickerTest.java
@@ -83,10 +83,10 @@
             {new Outcome.Lost(Progress.NOT_WRITTEN), false, Ending.UNCONNECTED},
             {new Outcome.Lost(Progress.PARTLY_WRITTEN), false, Ending.UNCONNECTED},
             {new Outcome.Lost(Progress.WRITTEN), false, Ending.RESET},
-            {new Outcome.CalledOff(Progress.NOT_WRITTEN), false, Ending.NEVER_SENT},
-            {new Outcome.CalledOff(Progress.NOT_WRITTEN), true, Ending.NEVER_SENT},
-            {new Outcome.CalledOff(Progress.WRITTEN), false, Ending.CANCELLED},
-            {new Outcome.CalledOff(Progress.WRITTEN), true, Ending.TIMED_OUT},
+            {new Outcome.Cancelled(Progress.NOT_WRITTEN), false, Ending.NEVER_SENT},
+            {new Outcome.Cancelled(Progress.NOT_WRITTEN), true, Ending.NEVER_SENT},
+            {new Outcome.Cancelled(Progress.WRITTEN), false, Ending.CANCELLED},
+            {new Outcome.Cancelled(Progress.WRITTEN), true, Ending.TIMED_OUT},
         };
     }
 
@@ -132,7 +132,7 @@
         script.add(List.of(send("s.0"), new Action.Throttle("s", 250), new Action.Cancel("s.0", 0)));
         Orders orders = picker.pick(1, scan("s", null, 1));
         assertTrue(orders.send().isEmpty());
-        assertTrue(orders.callOff().isEmpty());
+        assertTrue(orders.cancel().isEmpty());
         assertEquals(orders.replies().get(0).answer(), new Answer.Throttled(250));
         assertEquals(((Event.DispatchEnded) seen.get(1).get(0)).ending(), Ending.NEVER_SENT);
     }
@@ -141,8 +141,8 @@
     public void callingOffIsToldOnceItIsKnownHowFarTheDispatchHadCome() {
         Dispatch dispatch = sent("s");
         script.add(List.of(new Action.Abandon("s"), new Action.Cancel("s.0", 0)));
-        assertEquals(picker.tick(9).callOff(), List.of(dispatch));
-        ended(9, dispatch, new Outcome.CalledOff(Progress.WRITTEN));
+        assertEquals(picker.tick(9).cancel(), List.of(dispatch));
+        ended(9, dispatch, new Outcome.Cancelled(Progress.WRITTEN));
         assertEquals(((Event.DispatchEnded) seen.get(2).get(0)).ending(), Ending.CANCELLED);
         // The books are closed: what comes later is dropped.
         assertTrue(ended(10, dispatch, HIT).replies().isEmpty());
@@ -162,9 +162,9 @@
     @Test
     public void patienceThatIsOverCallsOffAndCountsAsTimeOut() {
         Dispatch dispatch = sent("s");
-        assertEquals(picker.tick(400.5).callOff(), List.of());
-        assertEquals(picker.tick(401).callOff(), List.of(dispatch));
-        ended(401, dispatch, new Outcome.CalledOff(Progress.WRITTEN));
+        assertEquals(picker.tick(400.5).cancel(), List.of());
+        assertEquals(picker.tick(401).cancel(), List.of(dispatch));
+        ended(401, dispatch, new Outcome.Cancelled(Progress.WRITTEN));
         assertEquals(((Event.DispatchEnded) seen.get(seen.size() - 1).get(0)).ending(), Ending.TIMED_OUT);
     }
 
@@ -216,7 +216,7 @@
             ended(i, out.get(0), new Outcome.Lost(Progress.WRITTEN));
             script.add(List.of(new Action.Answer("s", true), new Action.Cancel("s.0", 1)));
             ended(i, out.get(1), HIT);
-            ended(i, out.get(2), new Outcome.CalledOff(Progress.WRITTEN));
+            ended(i, out.get(2), new Outcome.Cancelled(Progress.WRITTEN));
         }
         picker.tick(1000);
         assertEquals(picker.booked(), 0);
--- a/gatherer/src/main/java/sprucehold/clients/ClientServer.java
+++ b/gatherer/src/main/java/sprucehold/clients/ClientServer.java
@@ -35,7 +35,7 @@
     private static final int SWEEP_MS = 250;
 
     private final HttpServer server;
-    private final Desk desk;
+    private final ScanHandler handler;
     private final ScanReader reader;
     private final DoubleSupplier clock;
     private final Map<Scan, HttpServerRequest> open = new IdentityHashMap<>();
@@ -50,14 +50,14 @@
     private long floods;
 
     /** {@code most} is how many connections clients may hold. */
-    public ClientServer(Vertx vertx, int segments, int most, Desk desk, DoubleSupplier clock) {
-        this(vertx, segments, most, desk, clock, LingeringClose.LINGER_MS);
+    public ClientServer(Vertx vertx, int segments, int most, ScanHandler handler, DoubleSupplier clock) {
+        this(vertx, segments, most, handler, clock, LingeringClose.LINGER_MS);
     }
 
-    ClientServer(Vertx vertx, int segments, int most, Desk desk, DoubleSupplier clock, long lingerMs) {
+    ClientServer(Vertx vertx, int segments, int most, ScanHandler handler, DoubleSupplier clock, long lingerMs) {
         this.lingerMs = lingerMs;
         this.vertx = vertx;
-        this.desk = desk;
+        this.handler = handler;
         this.clock = clock;
         this.reader = new ScanReader(segments);
         this.connections = new ClientConnections<>(most, clock, new ChannelCloser());
@@ -186,7 +186,7 @@
             open.entrySet().stream().filter(entry -> entry.getValue() == request).map(Map.Entry::getKey).findAny()
                     .ifPresent(scan -> {
                         open.remove(scan);
-                        desk.left(scan);
+                        handler.left(scan);
                     });
             last(request, 500, "this request failed");
         }
@@ -197,7 +197,7 @@
         if (path.equals("/up")) {
             if (request.method() != HttpMethod.GET && request.method() != HttpMethod.HEAD) {
                 reject(request, 405, "GET only", "GET, HEAD");
-            } else if (desk.ready()) {
+            } else if (handler.ready()) {
                 reject(request, 200, "up", null);
             } else {
                 reject(request, 503, draining ? "ending" : "no list yet", null);
@@ -205,7 +205,7 @@
             return;
         }
         String tableType = path.startsWith("/") ? path.substring(1).split("/", 2)[0] : "";
-        if (!desk.isTableType(tableType)) {
+        if (!handler.isTableType(tableType)) {
             reject(request, 404, "no such table type", null);
         } else if (request.method() != HttpMethod.POST) {
             reject(request, 405, "POST only", "POST");
@@ -222,17 +222,17 @@
             reject(request, 400, e.getMessage(), null);
             return;
         }
-        if (desk.isOpen(scan)) {
+        if (handler.isOpen(scan)) {
             reject(request, 400, "a scan of this id is open", null);
             return;
         }
         open.put(scan, request);
         request.response().closeHandler(none -> {
             if (open.remove(scan) != null) {
-                desk.left(scan);
+                handler.left(scan);
             }
         });
-        desk.take(scan);
+        handler.take(scan);
     }
 
     /** Sends the final answer of a scan; one whose client has left gets none. */
--- a/gatherer/src/main/java/sprucehold/clients/Desk.java
+++ b/gatherer/src/main/java/sprucehold/clients/ScanHandler.java
@@ -3,7 +3,7 @@
 import sprucehold.picker.Scan;
 
 /** Where scans are taken. */
-public interface Desk {
+public interface ScanHandler {
     /** Whether scans can be taken: a list is held, and the gatherer isn't ending. */
     boolean ready();
 
--- a/gatherer/src/main/java/sprucehold/company/Company.java
+++ b/gatherer/src/main/java/sprucehold/company/Company.java
@@ -157,7 +157,7 @@
         if (report instanceof Report.ListCame list) {
             rooms.listed(counted, wall, list.complete(), list.servers().stream().map(Company::listing).toList());
         } else if (report instanceof Report.DispatchEnded ended) {
-            boolean calledOff = ended.outcome() instanceof Outcome.CalledOff;
+            boolean calledOff = ended.outcome() instanceof Outcome.Cancelled;
             // What was given up before its time tells nothing of the server.
             if (!calledOff || ended.dispatch().outMs(nowMs) >= ended.dispatch().patienceMs()) {
                 rooms.ended(counted, wall, ended.dispatch().server().name(), ended.outcome() instanceof Outcome.Completed);
--- a/gatherer/src/main/java/sprucehold/node/Drain.java
+++ b/gatherer/src/main/java/sprucehold/node/Drain.java
@@ -32,35 +32,35 @@
     /** How long a request that comes in slowly is waited for at the end; a sound one is whole within a few ms. */
     private static final long ARRIVING_MS = 100;
 
-    private final Leave leave;
+    private final DrainSchedule schedule;
     private final double beganAt;
 
-    Drain(Leave leave, double beganAt) {
-        this.leave = leave;
+    Drain(DrainSchedule schedule, double beganAt) {
+        this.schedule = schedule;
         this.beganAt = beganAt;
     }
 
     Phase phase(double nowMs, Owed owed) {
         double passed = nowMs - beganAt;
-        if (passed < leave.serveMs()) {
+        if (passed < schedule.serveMs()) {
             return Phase.SERVING_ON;
-        } else if (passed < leave.closeMs()) {
+        } else if (passed < schedule.closeMs()) {
             return Phase.SENDING_AWAY;
         }
-        boolean arriving = owed.arriving > 0 && passed < leave.closeMs() + ARRIVING_MS;
+        boolean arriving = owed.arriving > 0 && passed < schedule.closeMs() + ARRIVING_MS;
         return owed.scans > 0 || owed.answers > 0 || arriving ? Phase.TURNING_AWAY : Phase.OVER;
     }
 
     /** When to ask for the phase again, in milliseconds from now; at least 1. */
     long lookAgainMs(double nowMs) {
         double passed = nowMs - beganAt;
-        double next = passed < leave.serveMs() ? leave.serveMs() : passed < leave.closeMs() ? leave.closeMs()
+        double next = passed < schedule.serveMs() ? schedule.serveMs() : passed < schedule.closeMs() ? schedule.closeMs()
                 : passed + LOOK_MS;
         return Math.max(1, (long) Math.ceil(next - passed));
     }
 
     /** The most time that a scan taken now may get: its answer has to be out before the process may be killed. */
     double timeLeftMs(double nowMs) {
-        return leave.timeLeftMs(nowMs - beganAt);
+        return schedule.timeLeftMs(nowMs - beganAt);
     }
 }
--- a/gatherer/src/main/java/sprucehold/node/Node.java
+++ b/gatherer/src/main/java/sprucehold/node/Node.java
@@ -25,7 +25,7 @@
 import sprucehold.change.line.LineAction;
 import sprucehold.change.line.VersionLine;
 import sprucehold.clients.ClientServer;
-import sprucehold.clients.Desk;
+import sprucehold.clients.ScanHandler;
 import sprucehold.discovery.Watch;
 import sprucehold.door.ChangeDesk;
 import sprucehold.door.Door;
@@ -49,7 +49,7 @@
  * One gatherer: it carries what happens outside to the picker, and what the picker orders to the network. All of
  * it runs on the one event loop.
  */
-final class Node implements Desk {
+final class Node implements ScanHandler {
     private static final Logger LOG = Logger.getLogger(Node.class.getName());
 
     private final Vertx vertx;
@@ -281,7 +281,7 @@
     }
 
     private void carryOut(Orders orders) {
-        shards.callOff(orders.callOff());
+        shards.cancel(orders.cancel());
         shards.send(neighbours.isEmpty() ? orders.send() : permitted(orders.send()));
         orders.uses().forEach(use -> neighbours.forEach(one -> one.use(clock.now(), use)));
         orders.replies().forEach(reply -> {
@@ -307,7 +307,7 @@
                 neighbours.forEach(one -> leaves.add(one.use(clock.now(), use)));
             }
             if (leaves.contains(null)) {
-                report(new Report.DispatchEnded(dispatch, new Outcome.CalledOff(Progress.NOT_WRITTEN)));
+                report(new Report.DispatchEnded(dispatch, new Outcome.Cancelled(Progress.NOT_WRITTEN)));
                 continue;
             }
             if (!leaves.isEmpty()) {
@@ -444,7 +444,7 @@
     }
 
     /** Ends the gatherer once nothing is owed to anybody, as {@link Drain} says; asked again, it ends no other way. */
-    Future<Void> end(Leave how) {
+    Future<Void> end(DrainSchedule how) {
         if (drain != null) {
             return ended;
         }
--- a/gatherer/src/main/java/sprucehold/node/Rehearsal.java
+++ b/gatherer/src/main/java/sprucehold/node/Rehearsal.java
@@ -41,7 +41,7 @@
                     var node = new Node(vertx, moved, factory);
                     return node.start().compose(port -> whenReady(vertx, node)
                             .compose(ready -> ask(vertx, seat, port, line)))
-                            .compose(whole -> node.end(Leave.NOW).map(whole));
+                            .compose(whole -> node.end(DrainSchedule.NOW).map(whole));
                 })
                 .onComplete(done::complete, done::completeExceptionally));
         try {
--- a/gatherer/src/main/java/sprucehold/node/ScanLog.java
+++ b/gatherer/src/main/java/sprucehold/node/ScanLog.java
@@ -63,7 +63,7 @@
     private static String words(Outcome outcome) {
         if (outcome instanceof Outcome.Lost lost) {
             return "lost " + lost.progress();
-        } else if (outcome instanceof Outcome.CalledOff off) {
+        } else if (outcome instanceof Outcome.Cancelled off) {
             return "called off " + off.progress();
         }
         return outcome instanceof Outcome.Completed ? "completed" : outcome instanceof Outcome.Faulty ? "faulty"
--- a/gatherer/src/main/java/sprucehold/node/Service.java
+++ b/gatherer/src/main/java/sprucehold/node/Service.java
@@ -103,7 +103,7 @@
         var ended = new CompletableFuture<Void>();
         vertx.runOnContext(none -> {
             Node node = made.get();
-            (node == null ? Future.<Void>succeededFuture() : node.end(Leave.within(seat.facts().longestTimeoutMs())))
+            (node == null ? Future.<Void>succeededFuture() : node.end(DrainSchedule.within(seat.facts().longestTimeoutMs())))
                     .onComplete(ended::complete, ended::completeExceptionally);
         });
         try {
--- a/gatherer/src/main/java/sprucehold/shards/ShardLink.java
+++ b/gatherer/src/main/java/sprucehold/shards/ShardLink.java
@@ -56,9 +56,9 @@
      * Parts called off whose answers may still come, the longest-standing first. A server that stood still for minutes answers
      * all that it held, and that is no noise; so not time bounds them but their number.
      */
-    private final Set<String> calledOff = new LinkedHashSet<>();
+    private final Set<String> cancelled = new LinkedHashSet<>();
     /** More than a server of the usual size runs and queues, for all gatherers together. */
-    private static final int MOST_CALLED_OFF = 1024;
+    private static final int MOST_CANCELLED = 1024;
     /** When each probe that has no answer yet was sent. */
     private final Queue<Double> probes = new ArrayDeque<>();
     /** Probes that wait for the connection to come up, and whether they ask for the load. */
@@ -119,7 +119,7 @@
         boolean blocked = socket != null && (doubtful || socket.writeQueueFull());
         return !over && !blocked && flights.size() + waitingParts + call.size() <= mostParts
                 && call.stream().noneMatch(dispatch -> flights.containsKey(dispatch.partId())
-                        || calledOff.contains(dispatch.partId()));
+                        || cancelled.contains(dispatch.partId()));
     }
 
     void send(List<Dispatch> call) {
@@ -137,7 +137,7 @@
         var call = new ArrayList<Dispatch>();
         for (Dispatch dispatch : waited) {
             if (!dispatch.mayBeWritten(now)) {
-                owner.ended(dispatch, new Outcome.CalledOff(Progress.NOT_WRITTEN));
+                owner.ended(dispatch, new Outcome.Cancelled(Progress.NOT_WRITTEN));
             } else if (dispatch.server().running()) {
                 call.add(dispatch);
             } else {
@@ -173,11 +173,11 @@
     }
 
     /** Gives a part up; false if it isn't on this link. */
-    boolean callOff(Dispatch dispatch) {
+    boolean cancel(Dispatch dispatch) {
         for (List<Dispatch> call : waiting) {
             if (call.remove(dispatch)) {
                 waitingParts--;
-                owner.ended(dispatch, new Outcome.CalledOff(Progress.NOT_WRITTEN));
+                owner.ended(dispatch, new Outcome.Cancelled(Progress.NOT_WRITTEN));
                 return true;
             }
         }
@@ -186,13 +186,13 @@
             return false;
         }
         flights.remove(dispatch.partId());
-        calledOff.add(dispatch.partId());
-        if (calledOff.size() > MOST_CALLED_OFF) {
-            calledOff.remove(calledOff.iterator().next());
+        cancelled.add(dispatch.partId());
+        if (cancelled.size() > MOST_CANCELLED) {
+            cancelled.remove(cancelled.iterator().next());
         }
         socket.write(GathererFrame.giveUp(dispatch.partId()));
         idle();
-        owner.ended(dispatch, new Outcome.CalledOff(Progress.WRITTEN));
+        owner.ended(dispatch, new Outcome.Cancelled(Progress.WRITTEN));
         return true;
     }
 
@@ -225,7 +225,7 @@
         }
         if (frame instanceof ShardFrame.Ended ended) {
             Flight flight = flights.remove(ended.partId());
-            if (flight == null && !calledOff.remove(ended.partId())) {
+            if (flight == null && !cancelled.remove(ended.partId())) {
                 unreadable("the end of a part that isn't out");
                 return;
             }
--- a/gatherer/src/main/java/sprucehold/shards/ShardServers.java
+++ b/gatherer/src/main/java/sprucehold/shards/ShardServers.java
@@ -141,13 +141,13 @@
         });
     }
 
-    public void callOff(List<Dispatch> dispatches) {
+    public void cancel(List<Dispatch> dispatches) {
         for (Dispatch dispatch : dispatches) {
             Peer peer = peers.get(dispatch.server());
-            boolean found = peer != null && List.copyOf(peer.links).stream().anyMatch(link -> link.callOff(dispatch));
+            boolean found = peer != null && List.copyOf(peer.links).stream().anyMatch(link -> link.cancel(dispatch));
             if (!found) {
                 // Only after a panic is one on no link and not reported; nobody knows whether it was written.
-                reports.accept(new Report.DispatchEnded(dispatch, new Outcome.CalledOff(Progress.WRITTEN)));
+                reports.accept(new Report.DispatchEnded(dispatch, new Outcome.Cancelled(Progress.WRITTEN)));
             }
         }
     }
--- a/gatherer/src/test/java/sprucehold/clients/ClientServerTest.java
+++ b/gatherer/src/test/java/sprucehold/clients/ClientServerTest.java
@@ -27,7 +27,7 @@
 import sprucehold.picker.Answer;
 import sprucehold.picker.Scan;
 
-/** The HTTP server with a desk that is scripted, asked over plain sockets. */
+/** The HTTP server with a handler that is scripted, asked over plain sockets. */
 public class ClientServerTest {
     private static final String BODY = "{\"buckets\":[{\"bucket\":0,\"part\":1}],\"body\":\"c4\"}";
     private static final Answer HIT = new Answer.Completed(true,
@@ -61,7 +61,7 @@
         left = new LinkedBlockingQueue<>();
         vertx = Vertx.vertx();
         loop = new TestLoop(vertx);
-        var desk = new Desk() {
+        var handler = new ScanHandler() {
             @Override
             public boolean ready() {
                 return ready;
@@ -95,7 +95,7 @@
         };
         var listening = new CompletableFuture<HttpServer>();
         loop.run(() -> {
-            server = new ClientServer(vertx, 10, MOST, desk, () -> now, lingerMs);
+            server = new ClientServer(vertx, 10, MOST, handler, () -> now, lingerMs);
             server.listen(SocketAddress.inetSocketAddress(0, "127.0.0.1")).onComplete(listening::complete, listening::completeExceptionally);
         });
         port = listening.get(5, TimeUnit.SECONDS).actualPort();
--- a/gatherer/src/test/java/sprucehold/node/ChangesTest.java
+++ b/gatherer/src/test/java/sprucehold/node/ChangesTest.java
@@ -93,7 +93,7 @@
     public void stop() throws Exception {
         loadEnds();
         var ended = new CompletableFuture<Void>();
-        vertx.runOnContext(none -> node.end(Leave.NOW).onComplete(ended::complete, ended::completeExceptionally));
+        vertx.runOnContext(none -> node.end(DrainSchedule.NOW).onComplete(ended::complete, ended::completeExceptionally));
         ended.get(10, TimeUnit.SECONDS);
         vertx.close().toCompletionStage().toCompletableFuture().get(5, TimeUnit.SECONDS);
     }
@@ -190,7 +190,7 @@
         assertEquals(propose("p1", 1, document).statusCode(), 200, "the same proposal again");
         loadEnds();
         var ended = new CompletableFuture<Void>();
-        vertx.runOnContext(none -> node.end(Leave.NOW).onComplete(ended::complete, ended::completeExceptionally));
+        vertx.runOnContext(none -> node.end(DrainSchedule.NOW).onComplete(ended::complete, ended::completeExceptionally));
         ended.get(10, TimeUnit.SECONDS);
         node = serve();
         assertEquals(document().get("limits").get("maxOpen").asInt(), 450);
--- a/gatherer/src/test/java/sprucehold/node/DrainTest.java
+++ b/gatherer/src/test/java/sprucehold/node/DrainTest.java
@@ -8,7 +8,7 @@
 
 /** The end of a gatherer, on a clock of its own. */
 public class DrainTest {
-    private static final Leave LEAVE = new Leave(3000, 3300, 3700);
+    private static final DrainSchedule SCHEDULE = new DrainSchedule(3000, 3300, 3700);
 
     @DataProvider
     Object[][] moments() {
@@ -27,7 +27,7 @@
 
     @Test(dataProvider = "moments")
     public void drainIsOverOnceNothingIsOwedAndNoSooner(double passed, Drain.Owed owed, Drain.Phase phase, long again) {
-        var drain = new Drain(LEAVE, 1000);
+        var drain = new Drain(SCHEDULE, 1000);
         assertEquals(drain.phase(1000 + passed, owed), phase);
         assertEquals(drain.lookAgainMs(1000 + passed), again);
     }
@@ -40,12 +40,12 @@
     /** SIGKILL comes no sooner than the longest query timeout, 3 s at most, and 0.7 s after SIGTERM. */
     @Test(dataProvider = "timeouts")
     public void everyScanTakenIsAnsweredBeforeTheProcessMayBeKilled(double longestMs) {
-        Leave leave = Leave.within(longestMs);
-        var drain = new Drain(leave, 0);
+        DrainSchedule schedule = DrainSchedule.within(longestMs);
+        var drain = new Drain(schedule, 0);
         double killMs = Math.min(longestMs, 3000) + 700;
-        assertTrue(leave.serveMs() >= 400 && leave.closeMs() >= leave.serveMs() && leave.closeMs() < killMs, leave.toString());
-        for (double at = 0; at < leave.closeMs(); at += 10) {
-            assertTrue(at + drain.timeLeftMs(at) < killMs, leave + " at " + at);
+        assertTrue(schedule.serveMs() >= 400 && schedule.closeMs() >= schedule.serveMs() && schedule.closeMs() < killMs, schedule.toString());
+        for (double at = 0; at < schedule.closeMs(); at += 10) {
+            assertTrue(at + drain.timeLeftMs(at) < killMs, schedule + " at " + at);
         }
     }
 }
--- a/gatherer/src/test/java/sprucehold/node/NodeTest.java
+++ b/gatherer/src/test/java/sprucehold/node/NodeTest.java
@@ -148,7 +148,7 @@
         return new Seat("n", listen, new Seat.Address("127.0.0.1", discovery), 5, told.sockets(), told.known(), told.facts());
     }
 
-    private void end(Node node, Leave how) throws Exception {
+    private void end(Node node, DrainSchedule how) throws Exception {
         await(loop.call(() -> node.end(how)));
     }
 
@@ -203,7 +203,7 @@
         Begun begun = begin(asking(calls, new Seat.Address("127.0.0.1", 0)), (seed, facts) -> (now, events) -> List.of(), List.of());
         HttpServerRequest call = calls.poll(10, TimeUnit.SECONDS);
         // Nothing is owed to anybody, so it doesn't serve on.
-        end(begun.node, new Leave(60_000, 60_000, 90_000));
+        end(begun.node, new DrainSchedule(60_000, 60_000, 90_000));
         call.response().end("{\"index\":9,\"snapshot\":true,\"endpoints\":[]}");
         assertThrows(ExecutionException.class, () -> await(begun.start));
         assertFalse(begun.node.ready());
@@ -212,8 +212,8 @@
     @Test
     public void whoIsToldToEndTwiceEndsOnceAndAsItWasToldFirst() throws Exception {
         Node node = node((seed, facts) -> (now, events) -> List.of(), PLACE, SETTINGS, KNOWN);
-        assertTrue(loop.call(() -> node.end(Leave.NOW) == node.end(new Leave(60_000, 60_000, 60_000))));
-        end(node, Leave.NOW);
+        assertTrue(loop.call(() -> node.end(DrainSchedule.NOW) == node.end(new DrainSchedule(60_000, 60_000, 60_000))));
+        end(node, DrainSchedule.NOW);
     }
 
     /** One that leaves so many dispatches their units, says that it withdraws them again, and tells what it is asked. */
@@ -281,8 +281,8 @@
         return new Object[][] {
             // units it has, whether it takes leave back before the write, how the dispatch that takes one ends, what it hears
             {1, false, Ending.COMPLETED, List.of("start", "taken s", "sent s.0", "ended Completed", "end")},
-            {0, false, Ending.NEVER_SENT, List.of("start", "taken s", "ended CalledOff", "end")},
-            {1, true, Ending.NEVER_SENT, List.of("start", "taken s", "sent s.0", "ended CalledOff", "end")},
+            {0, false, Ending.NEVER_SENT, List.of("start", "taken s", "ended Cancelled", "end")},
+            {1, true, Ending.NEVER_SENT, List.of("start", "taken s", "sent s.0", "ended Cancelled", "end")},
         };
     }
 
@@ -321,7 +321,7 @@
                 .send("{\"buckets\":[{\"bucket\":0,\"part\":1.0}],\"body\":\"c4\"}")).compose(response -> response.body()));
         assertEquals(endings.get(10, TimeUnit.SECONDS), ending);
         assertEquals(told.get(10, TimeUnit.SECONDS), new Others(3, Map.of(Bound.FURTHER, units), Map.of()));
-        end(node, Leave.NOW);
+        end(node, DrainSchedule.NOW);
         assertEquals(lender.heard, heard);
     }
 
@@ -488,7 +488,7 @@
         var lingered = new CompletableFuture<Void>();
         var ended = new CompletableFuture<Void>();
         vertx.runOnContext(none -> {
-            node.end(new Leave(2000, 2200, 9000)).onComplete(ended::complete, ended::completeExceptionally);
+            node.end(new DrainSchedule(2000, 2200, 9000)).onComplete(ended::complete, ended::completeExceptionally);
             vertx.setTimer(2300, timer -> lingered.complete(null));
         });
         // Who is told to leave serves on for a while, but promises no answer for when it may have been killed.
--- a/gatherer/src/test/java/sprucehold/shards/ShardServersTest.java
+++ b/gatherer/src/test/java/sprucehold/shards/ShardServersTest.java
@@ -126,8 +126,8 @@
         loop.act(() -> shards.sweep(silenceMs));
     }
 
-    private void callOff(List<Dispatch> dispatches) throws Exception {
-        loop.act(() -> shards.callOff(dispatches));
+    private void cancel(List<Dispatch> dispatches) throws Exception {
+        loop.act(() -> shards.cancel(dispatches));
     }
 
     private void send(List<Dispatch> dispatches) throws Exception {
@@ -265,8 +265,8 @@
         List<Dispatch> sent = dispatches("s", 2, "text");
         send(sent);
         assertTrue(heard.poll(5, TimeUnit.SECONDS).contains("As.0"));
-        callOff(List.of(sent.get(0)));
-        assertEquals(outcome(sent.get(0)), new Outcome.CalledOff(Progress.WRITTEN));
+        cancel(List.of(sent.get(0)));
+        assertEquals(outcome(sent.get(0)), new Outcome.Cancelled(Progress.WRITTEN));
         assertTrue(outcome(sent.get(1)) instanceof Outcome.Completed);
         assertEquals(links(), 1);
     }
@@ -283,7 +283,7 @@
         List<Dispatch> first = dispatches("s", 1, "text");
         send(first);
         assertTrue(heard.poll(5, TimeUnit.SECONDS).contains("As.0"));
-        callOff(first);
+        cancel(first);
         outcome(first.get(0));
         // Swept as often as time passes, but never idle for so long that the link is closed.
         now = 14_000;
@@ -309,9 +309,9 @@
         List<Dispatch> sent = dispatches("s", 2, "text");
         loop.act(() -> {
             shards.send(sent);
-            shards.callOff(List.of(sent.get(0)));
+            shards.cancel(List.of(sent.get(0)));
         });
-        assertEquals(outcome(sent.get(0)), new Outcome.CalledOff(Progress.NOT_WRITTEN));
+        assertEquals(outcome(sent.get(0)), new Outcome.Cancelled(Progress.NOT_WRITTEN));
         assertTrue(heard.poll(5, TimeUnit.SECONDS).contains("As.1"));
     }
 
@@ -358,7 +358,7 @@
                 default -> { }
             }
         });
-        assertEquals(outcome(sent.get(0)), new Outcome.CalledOff(Progress.NOT_WRITTEN));
+        assertEquals(outcome(sent.get(0)), new Outcome.Cancelled(Progress.NOT_WRITTEN));
         assertNull(heard.poll());
     }
 
@@ -392,7 +392,7 @@
         if (goes) {
             assertTrue(heard.poll(5, TimeUnit.SECONDS).contains("As.0"));
         } else {
-            assertEquals(outcome(sent.get(0)), new Outcome.CalledOff(Progress.NOT_WRITTEN));
+            assertEquals(outcome(sent.get(0)), new Outcome.Cancelled(Progress.NOT_WRITTEN));
             assertNull(heard.poll());
         }
     }
@@ -425,7 +425,7 @@
             loop.act(() -> {
                 list(state, server.actualPort());
                 shards.sweep(300);
-                shards.callOff(left == 1 ? sent : List.of());
+                shards.cancel(left == 1 ? sent : List.of());
             });
             assertEquals(links(), left);
         }
@@ -449,7 +449,7 @@
         send(sent);
         assertTrue(heard.poll(5, TimeUnit.SECONDS).contains("As.0"));
         loop.act(() -> {
-            shards.callOff(sent);
+            shards.cancel(sent);
             shards.send(sent);
         });
         assertEquals(links(), 2);
@@ -483,7 +483,7 @@
         assertTrue(heard.poll(5, TimeUnit.SECONDS).contains("At.0"));
         assertEquals(links(), 2);
         loop.act(() -> {
-            shards.callOff(first);
+            shards.cancel(first);
             shards.sweep(300);
         });
         assertEquals(links(), 1);
--- a/tracetools/src/main/java/sprucehold/tracetools/synth/SyntheticDay.java
+++ b/tracetools/src/main/java/sprucehold/tracetools/synth/SyntheticDay.java
@@ -333,10 +333,10 @@
 
     private void call(Seat seat, Supplier<Orders> call) {
         Orders orders = call.get();
-        for (Dispatch dispatch : orders.callOff()) {
+        for (Dispatch dispatch : orders.cancel()) {
             Out out = seat.out.get(dispatch);
             if (out != null) {
-                out.end(0.02, () -> new Outcome.CalledOff(Progress.WRITTEN));
+                out.end(0.02, () -> new Outcome.Cancelled(Progress.WRITTEN));
             }
         }
         orders.send().forEach(dispatch -> send(seat, dispatch));
