Hand a client's idempotency key on to shard servers

Of three forms of a frame's list (k=, key=, idempotency-key=) only 'd=...,k=KEY' was taken. Faulty: ScanReader.read dropped the header, GathererFrame.call wrote d alone. So it was the program, not the variant. Ruled out: the variant's window and group, which the fault doesn't depend on. Change: Scan.idempotencyKey; a key that would change the frame's line (comma, space, over 128 characters) is answered 400. Seen failing without it: idempotencyKeyOfItsClientGoesWithEachPart, idempotencyKeyIsKept.

--- a/gatherer/src/main/java/sprucehold/clients/ScanReader.java
+++ b/gatherer/src/main/java/sprucehold/clients/ScanReader.java
@@ -13,7 +13,9 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
+import java.util.regex.Pattern;
 import sprucehold.picker.Scan;
 
 /** Reads a client's scan from its headers and body. */
@@ -23,7 +25,11 @@
             .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
             .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION).build();
 
-    private static final List<String> ONCE = List.of("X-Request-Id", "X-Class", "X-Tenant", "X-Deadline-Ms");
+    private static final String IDEMPOTENCY_KEY = "Idempotency-Key";
+    private static final List<String> ONCE =
+            List.of("X-Request-Id", "X-Class", "X-Tenant", "X-Deadline-Ms", IDEMPOTENCY_KEY);
+    /** What fits as a value into the list of a frame's line, where commas and spaces separate: 1 to 128 characters. */
+    private static final Pattern LIST_VALUE = Pattern.compile("[!-+\\--~]{1,128}");
 
     private final int segments;
 
@@ -58,6 +64,10 @@
         if (deadline == null || !deadline.matches("[0-9]{1,9}")) {
             throw new MalformedException("X-Deadline-Ms must be whole milliseconds");
         }
+        Optional<String> key = Optional.ofNullable(headers.get(IDEMPOTENCY_KEY));
+        if (key.isPresent() && !LIST_VALUE.matcher(key.get()).matches()) {
+            throw new MalformedException(IDEMPOTENCY_KEY + " must be 1 to 128 visible characters without commas");
+        }
         JsonNode node;
         try {
             node = MAPPER.readTree(StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(body)).toString());
@@ -90,7 +100,7 @@
             parts.add(new Scan.Part(segment, bucket.get("part").doubleValue() / whole));
         }
         return new Scan(id, tableType, headers.get("X-Tenant"),
-                Math.max(0, Double.parseDouble(deadline) - spentMs), parts,
+                Math.max(0, Double.parseDouble(deadline) - spentMs), key, parts,
                 node.get("body").textValue().getBytes(StandardCharsets.UTF_8));
     }
 }
--- a/gatherer/src/main/java/sprucehold/shards/GathererFrame.java
+++ b/gatherer/src/main/java/sprucehold/shards/GathererFrame.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import sprucehold.picker.Dispatch;
+import sprucehold.picker.Scan;
 
 /** The frames that a gatherer sends. */
 final class GathererFrame {
@@ -16,12 +17,17 @@
         for (Dispatch dispatch : dispatches) {
             byte[] text = dispatch.scan().text();
             long patience = Math.max(1, (long) dispatch.patienceLeftMs(nowMs));
-            rest.appendString(dispatch.partId() + " " + dispatch.segment() + " d=" + patience + " " + text.length + "\n")
-                    .appendBytes(text);
+            rest.appendString(dispatch.partId() + " " + dispatch.segment() + " " + list(dispatch.scan(), patience)
+                    + " " + text.length + "\n").appendBytes(text);
         }
         return frame('A', rest);
     }
 
+    /** What a server is told of a part: the time that it is waited for and, where its client sent one, the idempotency key. */
+    private static String list(Scan scan, long patienceMs) {
+        return "d=" + patienceMs + scan.idempotencyKey().map(key -> ",k=" + key).orElse("");
+    }
+
     static Buffer giveUp(String partId) {
         return frame('B', Buffer.buffer(partId.getBytes(StandardCharsets.UTF_8)));
     }
--- a/gatherer/src/test/java/sprucehold/clients/ScanReaderTest.java
+++ b/gatherer/src/test/java/sprucehold/clients/ScanReaderTest.java
@@ -6,6 +6,7 @@
 import io.vertx.core.MultiMap;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Optional;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import sprucehold.picker.Answer;
@@ -61,15 +62,37 @@
 
     @Test
     public void headerThatStandsTwiceIsRefused() {
-        for (String name : List.of("X-Request-Id", "X-Class", "X-Tenant", "X-Deadline-Ms")) {
+        for (String name : List.of("X-Request-Id", "X-Class", "X-Tenant", "X-Deadline-Ms", "Idempotency-Key")) {
             MultiMap headers = MultiMap.caseInsensitiveMultiMap().add("X-Request-Id", "s").add("X-Class", "q")
-                    .add("X-Tenant", "acme").add("X-Deadline-Ms", "9");
+                    .add("X-Tenant", "acme").add("X-Deadline-Ms", "9").add("Idempotency-Key", "k");
             headers.add(name, headers.get(name));
             assertThrows(ScanReader.MalformedException.class,
                     () -> new ScanReader(10).read("q", headers, body(PART).getBytes(StandardCharsets.UTF_8), 0));
         }
     }
 
+    private static Scan withKey(String key) throws Exception {
+        MultiMap headers = MultiMap.caseInsensitiveMultiMap().add("X-Request-Id", "s").add("X-Class", "q")
+                .add("X-Deadline-Ms", "9").add("Idempotency-Key", key);
+        return new ScanReader(10).read("q", headers, body(PART).getBytes(StandardCharsets.UTF_8), 0);
+    }
+
+    @Test
+    public void idempotencyKeyIsKept() throws Exception {
+        assertEquals(withKey("bd569accb11846f4").idempotencyKey(), Optional.of("bd569accb11846f4"));
+        assertEquals(read("s", "q", "9", body(PART)).idempotencyKey(), Optional.empty());
+    }
+
+    @DataProvider
+    Object[][] keysThatFitNoFrame() {
+        return new Object[][] {{""}, {"a,d=1"}, {"a b"}, {"a\n"}, {"\u00e9"}, {"k".repeat(129)}};
+    }
+
+    @Test(dataProvider = "keysThatFitNoFrame")
+    public void idempotencyKeyThatWouldChangeTheFrameIsRefused(String key) {
+        assertThrows(ScanReader.MalformedException.class, () -> withKey(key));
+    }
+
     @Test
     public void scanIsReadWithItsSharesMadeWhole() throws Exception {
         Scan scan = read("s", "q", "480", "{\"more\":1,\"buckets\":[{\"bucket\":3,\"part\":0.333,\"effort\":9000},"
--- a/gatherer/src/test/java/sprucehold/shards/ShardServersTest.java
+++ b/gatherer/src/test/java/sprucehold/shards/ShardServersTest.java
@@ -16,6 +16,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -176,6 +177,16 @@
                 Buffer.buffer().appendIntLE(call.length()).appendString(call).toString());
     }
 
+    @Test
+    public void idempotencyKeyOfItsClientGoesWithEachPart() throws Exception {
+        start(32, 1, (socket, bytes) -> answer(socket, "Es.0 hit 5 -\nvalue"));
+        var scan = new Scan("s", "q", null, 500, Optional.of("b086b1d5"), List.of(new Scan.Part(0, 1)), "text".getBytes());
+        send(picker.pick(now, scan).send());
+        String call = "As.0 0 d=240,k=b086b1d5 4\ntext";
+        assertEquals(heard.poll(5, TimeUnit.SECONDS),
+                Buffer.buffer().appendIntLE(call.length()).appendString(call).toString());
+    }
+
     /** As it comes once a sound answer is followed by noise or by a copy of itself: only the link is lost. */
     @Test
     public void whatComesOnTopOfASoundAnswerEndsTheLinkAlone() throws Exception {
