Keep cold servers standing under the sum of all gatherers

Need: a cold server may get N calls of mean work in a window, beyond which 2*sqrt(N) + 2 are chance, from all gatherers together. Cause: Brain.coldRoom drew lots with chance share*multiple/1.5 whatever the number of gatherers, so their sum grew with it. Change: the chance is worked out from the budget in parts, the number of gatherers, and this gatherer's own rate of dispatches, so that the expected sum is the budget less one and a half standard deviations however many there are. Also: a part for a scan that has ended is passed over (decide threw on it and lost its batch); a failed list is asked for again after 3 s at the most, not 6, since what it has to tell counts as told 6 s after it could be reached; lines over 110 characters are wrapped.

--- a/core/src/main/java/sprucehold/brain/Brain.java
+++ b/core/src/main/java/sprucehold/brain/Brain.java
@@ -28,7 +28,8 @@
  * All decisions of one gatherer. It is called through {@link #decide}, the one entry point: what happened
  * goes in, what is to be done comes out. The interface is the package {@link sprucehold.port}.
  *
- * <p>The design (docs/design.md) decides the ordinary path: rounds, their width, the position rule. Beside it, six mechanisms:
+ * <p>The design (docs/design.md) decides the ordinary path: rounds, their width, the position rule. Beside
+ * it, six mechanisms:
  * <ol><li>set-aside: a late shard server has fewer parts out, one that fails in a row none, then a few more;
  * <li>cold budget: a server that has just started is sent this gatherer's part of its limit, or by lot;
  * <li>list following: nothing goes to a server reported draining or gone; the list is asked for if need be;
@@ -231,7 +232,7 @@
         change(facts);
     }
 
-    /** Scans taken from now on go by these facts; open ones keep theirs, but where a part may now run less often. */
+    /** Scans taken from now on go by these facts; open ones keep theirs, but where a part may run less. */
     private void change(Deployment next) {
         facts = next;
         // 200: some ten seconds of a quiet gatherer's parts.
@@ -250,14 +251,7 @@
                 take(taken);
                 takenAt.add(now);
             } else if (event instanceof Event.PartTaken taken) {
-                Scan scan = scansByNumber.get(taken.scanNumber());
-                var part = new Part(taken, scan);
-                takenAt.add(now);
-                scan.parts.add(part);
-                partsById.put(part.id, part);
-                if (!waiting.contains(scan)) {
-                    waiting.add(scan);
-                }
+                take(taken);
             } else if (event instanceof Event.DispatchEnded ended) {
                 dispatchEnded(ended);
             } else if (event instanceof Event.ClientLeft left && scansById.containsKey(left.scanId())) {
@@ -314,6 +308,21 @@
         });
     }
 
+    private void take(Event.PartTaken taken) {
+        takenAt.add(now);
+        Scan scan = scansByNumber.get(taken.scanNumber());
+        if (scan == null) {
+            // Its scan has ended, as when a second step's parts come after the client's time is over.
+            return;
+        }
+        var part = new Part(taken, scan);
+        scan.parts.add(part);
+        partsById.put(part.id, part);
+        if (!waiting.contains(scan)) {
+            waiting.add(scan);
+        }
+    }
+
     private void startWaiting() {
         int inVain = 0;
         boolean all = now >= lookedAt + facts.tickMs();
@@ -392,8 +401,7 @@
     private double load(Srv srv) {
         boolean shared = facts.layout().callParts() > 1 && srv.out.size() > 1;
         double out = shared ? srv.out.stream().mapToDouble(s -> s.at).distinct().count() : srv.out.size();
-        double trouble = Math.max(lateByZone.getOrDefault(srv.zone, 0.0), others.trouble().getOrDefault(srv.id, 0.0));
-        return out + srv.failuresInRow + (trouble > 0.5 ? 1 : 0);
+        return out + srv.failuresInRow + (inTrouble(srv) ? 1 : 0);
     }
 
     private void sendRound(Scan scan, int width, Reason reason) {
@@ -408,8 +416,8 @@
         long underWay = scan.parts.stream().filter(p -> p.completed || p.isOut()).count();
         for (Part part : unsent.subList(0, Math.min(width, unsent.size()))) {
             Srv srv = choose(part, scan.position);
-            // What a round asks for beyond the need doesn't queue at a server half of whose room is used: others may
-            // not be able to do without it, as when one cell has lost servers. It waits for a later round.
+            // What a round asks for beyond the need doesn't queue at a server half of whose room is used:
+            // others may need it more, as when one cell has lost servers. It waits for a later round.
             boolean busy = srv == null || outOfOthers(srv, scan) > 0 && srv.out.size() >= srv.room / 2;
             if (busy && underWay >= scan.needed()) {
                 break;
@@ -536,8 +544,14 @@
 
     private boolean suspect(Srv srv) {
         // Five seconds for each failure: about as long as a quiet gatherer takes to meet a server again.
-        return srv.failuresInRow > 0 && now < srv.failedAt + 5000 * Math.min(4, srv.failuresInRow)
-                || lateByZone.getOrDefault(srv.zone, 0.0) > 0.5 || others.trouble().getOrDefault(srv.id, 0.0) > 0.5;
+        boolean lately = now < srv.failedAt + 5000 * Math.min(4, srv.failuresInRow);
+        return srv.failuresInRow > 0 && lately || inTrouble(srv);
+    }
+
+    /** Most parts of its zone are late, or others say that it is in trouble. */
+    private boolean inTrouble(Srv srv) {
+        double told = others.trouble().getOrDefault(srv.id, 0.0);
+        return Math.max(lateByZone.getOrDefault(srv.zone, 0.0), told) > 0.5;
     }
 
     private static long outOfOthers(Srv srv, Scan scan) {
@@ -612,15 +626,38 @@
             return true;
         }
         // Where a gatherer's part of the budget is under one part's work nobody would ever send: gatherers
-        // draw lots, each window anew, for one part. Together they send what they would send it warm, scaled
-        // by what it can do and the rule's multiple over 1.5, so it may be its segments' last holder.
+        // draw lots, each window anew, for one part.
         if (now >= srv.lotUntil) {
             srv.lotUntil = now + rule.windowMs();
-            srv.lotWon = chance.nextDouble() < share * rule.multiple() / 1.5;
+            srv.lotWon = chance.nextDouble() < lotChance(rule.multiple() * share * rule.windowMs() / work);
         }
         return srv.lotWon && sent == 0;
     }
 
+    /**
+     * The chance of a lot, so that all gatherers together send a cold server the parts that it may get in a
+     * window, less one and a half standard deviations of their sum: the rule grants two more, and two parts.
+     * A gatherer that has a part for it in few windows draws better lots, and the others are taken to be like
+     * it. Twice its parts of the last seconds, one in two windows at least: room for traffic that shifts.
+     */
+    private double lotChance(double parts) {
+        double aimed = Math.max(parts / 2, parts - 1.5 * Math.sqrt(parts));
+        double running = Math.max(1, srvsById.values().stream().filter(srv -> srv.running).count());
+        double wanted = sendsPerMs() * facts.coldRule().windowMs() / running;
+        return aimed / facts.gatherers() / (1 - Math.exp(-Math.max(0.5, 2 * wanted)));
+    }
+
+    /** Long beside the gaps between a quiet gatherer's scans, short beside a server's warming up. */
+    private static final double SEND_RATE_MS = 2000;
+    private double sendRate, sendRateAt;
+
+    /** Dispatches a millisecond, as an average that forgets. */
+    private double sendsPerMs() {
+        sendRate *= Math.exp((sendRateAt - now) / SEND_RATE_MS);
+        sendRateAt = now;
+        return sendRate;
+    }
+
     // ---- List following ----
 
     private int listFailures;
@@ -660,9 +697,12 @@
     }
 
     private void listUnavailable() {
-        // Doubling and spread, not to flood a struggling list service; 4 s is well inside the time to ask.
-        double wait = Math.min(Math.min(4000, facts.listAccess().askWithinMs() / 2), 250 * Math.pow(2, Math.min(listFailures++, 6)));
-        at(now + wait * (0.5 + chance.nextDouble()), () -> todo.add(new Action.FollowList(Reason.LIST_FAILED)));
+        // Doubling and spread, not to flood a struggling list service. Three seconds at the most, and two for
+        // a call without an answer, stay under the six after which what the list has to tell counts as told.
+        double most = Math.min(2000, facts.listAccess().askWithinMs() / 2);
+        double wait = Math.min(most, 250 * Math.pow(2, Math.min(listFailures++, 6)));
+        double askAt = now + wait * (0.5 + chance.nextDouble());
+        at(askAt, () -> todo.add(new Action.FollowList(Reason.LIST_FAILED)));
     }
 
     // ---- Dispatches ----
@@ -691,11 +731,13 @@
         }
         part.sent.add(sent);
         srv.out.add(sent);
+        sendRate = sendsPerMs() + 1 / SEND_RATE_MS;
         if (coldShare(srv) < 1) {
             srv.coldSends.add(new double[] {now, workOf(part.scan.type)});
         }
         take(Bound.cold(srv.id), (int) Math.ceil(workOf(part.scan.type)));
-        todo.add(new Action.Dispatch(part.id, srv.id, part.scan.endsAt - now, reason, part.scan.position, passedOver));
+        double timeout = part.scan.endsAt - now;
+        todo.add(new Action.Dispatch(part.id, srv.id, timeout, reason, part.scan.position, passedOver));
         overdueAt(now + lateAfter(part.scan.type), sent);
     }
 
@@ -713,7 +755,8 @@
             if (held(part) && !part.scan.over) {
                 waitingParts.add(part);
             } else if (mayDispatch(part) && !part.isOut()) {
-                send(part, part.sent.isEmpty() ? choose(part, part.scan.position) : leastLoaded(part), again(part));
+                Srv srv = part.sent.isEmpty() ? choose(part, part.scan.position) : leastLoaded(part);
+                send(part, srv, again(part));
             }
         }
         if (now >= lookAgainAt && (!waitingParts.isEmpty() || !waiting.isEmpty())) {
@@ -729,26 +772,36 @@
 
     private boolean mayDispatch(Part part) {
         Scan scan = part.scan;
-        if (scan.over || part.past || part.completed || part.sent.size() >= facts.limits().dispatchesPerPart()) {
+        boolean tries = part.sent.size() < facts.limits().dispatchesPerPart();
+        if (scan.over || part.past || part.completed || !tries) {
             return false;
         }
         if (part.sent.isEmpty()) {
             return true;
         }
         boolean mayRun = part.mayHaveRun || part.isOut();
-        if (part.isOut() && !facts.limits().secondCopies() || held(part)
-                || mayRun && (scan.type.repeat() == TableType.Repeat.NON_REPLAYABLE || scan.type.repeat() == TableType.Repeat.KEYED
-                && now > part.sent.get(0).at + scan.type.keyedWindowMs() - 2 * facts.tickMs())) {
+        if (part.isOut() && !facts.limits().secondCopies() || held(part) || mayRun && !mayRunAgain(part)) {
             return false;
         }
         var budget = facts.dispatchBudget();
         furtherAt.removeIf(time -> time < now - budget.windowMs() - facts.tickMs());
-        return furtherAt.size() + 1 <= budget.free() + budget.perTaken() * takenAt.size() && room.getOrDefault(Bound.FURTHER, 1) > 0;
+        return furtherAt.size() + 1 <= budget.free() + budget.perTaken() * takenAt.size()
+                && room.getOrDefault(Bound.FURTHER, 1) > 0;
+    }
+
+    /** Whether its table type lets a part run again that may have run. */
+    private boolean mayRunAgain(Part part) {
+        TableType type = part.scan.type;
+        return switch (type.repeat()) {
+            case REPLAYABLE -> true;
+            case NON_REPLAYABLE -> false;
+            case KEYED -> now <= part.sent.get(0).at + type.keyedWindowMs() - 2 * facts.tickMs();
+        };
     }
 
     /**
-     * A broken part goes again only once another of its scan is completed. Guards against scans that bring down
-     * the servers that begin them and would go on to the next; costs a sound scan the wait for its quickest part.
+     * A broken part goes again only once another of its scan is completed. Guards against scans that bring
+     * down the servers that begin them, one by one; costs a sound scan the wait for its quickest part.
      */
     private boolean held(Part part) {
         return part.broken && part.scan.completed() == 0;
@@ -882,7 +935,7 @@
                 return Admission.NEVER;
             }
         }
-        // A client that more likely than not leaves before all needed parts are in only takes servers from others.
+        // A client that most likely leaves before all needed parts are in only takes servers from others.
         double usual = timesByType.get(scan.type.name()).quantile(Math.pow(0.5, 1.0 / scan.needed()), 0);
         if (scan.endsAt < scan.targetAt() && scan.endsAt - now < usual) {
             throttle(scan, Reason.CLIENT_TOO_SHORT);
@@ -893,8 +946,9 @@
         int placeable = 0;
         for (Part part : scan.parts) {
             Srv srv = choose(part, scan.position);
-            if (crowded && srv != null && srv.failuresInRow > 1 && srv.failedAt > now - scan.type.targetMs()) {
-                // Every holder failed more than once and within a target time: the scan would most likely come late.
+            double lately = now - scan.type.targetMs();
+            if (crowded && srv != null && srv.failuresInRow > 1 && srv.failedAt > lately) {
+                // Every holder failed more than once and within a target time: the scan would come late.
                 return Admission.LATER;
             } else if (srv != null) {
                 wanted.merge(srv, 1, Integer::sum);
@@ -916,9 +970,9 @@
     private double pressure, pressureAt, usualBenefit;
 
     /**
-     * Whether a scan is turned away because the fleet as a whole is slow: while even the quicker two fifths of parts take over
-     * a third of their target time, a growing share of scans is, and a shrinking one once they don't. The quicker ones, so that
-     * servers that are slow by themselves change nothing. Harmful where slowness isn't load.
+     * Whether a scan is turned away because the fleet as a whole is slow: while even the quicker two fifths
+     * of parts take over a third of their target time, a growing share of scans is, and then a shrinking one.
+     * The quicker ones, so that servers slow by themselves change nothing. Harmful where it isn't load.
      */
     private boolean tooMuch(Scan scan) {
         double seconds = (now - pressureAt) / 1000;
