Decide in short turns, count unread time, and let no order lose another's answer

Need: no attempt over 0.1 s after its client closed, also when the close is noticed late; no answer after its client's time; an answer for each query. Causes, read in the code and each forced by a test: Node.run made all waiting calls of the decisions before the sockets were read again, so a close was noticed only after all of them; ClientServer counted a client's time from when the request's head was read, not from when it came in while the loop was busy; one exception in Node.carryOut lost all later orders of that call, answers included, for queries that the decisions had already closed. Change: DecisionQueue ends a turn after 5 ms; reports go before new queries; what is read right after a turn counts as having come at its begin (ReadingPasses); each order is carried out on its own.

--- a/gatherer/src/main/java/sprucehold/clients/ClientServer.java
+++ b/gatherer/src/main/java/sprucehold/clients/ClientServer.java
@@ -38,6 +38,7 @@
     private final ScanHandler handler;
     private final ScanReader reader;
     private final DoubleSupplier clock;
+    private final ReadingPasses passes;
     private final Map<Scan, HttpServerRequest> open = new IdentityHashMap<>();
     private final Vertx vertx;
     private final ClientConnections<HttpConnection> connections;
@@ -59,6 +60,7 @@
         this.vertx = vertx;
         this.handler = handler;
         this.clock = clock;
+        this.passes = new ReadingPasses(clock);
         this.reader = new ScanReader(segments);
         this.connections = new ClientConnections<>(most, clock, new ChannelCloser());
         var options = new HttpServerOptions().setTcpNoDelay(true).setHandle100ContinueAutomatically(true)
@@ -97,8 +99,9 @@
     private void opened(HttpConnection connection, HttpServerOptions options) {
         connection.exceptionHandler(failure -> LOG.log(Level.FINE, "client connection", failure));
         connection.closeHandler(none -> connections.gone(connection));
-        channel(connection).pipeline().addFirst(new LingeringClose(lingerMs, () -> flooded(connection), () -> connections.shutting(connection)))
-                .replace("httpDecoder", "httpDecoder", new StrictDecoder(options));
+        var closing = new LingeringClose(lingerMs, () -> passes.reading(channel(connection).eventLoop()),
+                () -> flooded(connection), () -> connections.shutting(connection));
+        channel(connection).pipeline().addFirst(closing).replace("httpDecoder", "httpDecoder", new StrictDecoder(options));
         if (connections.opened(connection) && !trimming) {
             trimming = true;
             // A pass over the sockets later, so that what they have sent is read: a burst isn't a flood.
@@ -153,7 +156,7 @@
             last(request, 413, TOO_LONG);
             return;
         }
-        double cameAt = clock.getAsDouble();
+        double cameAt = handler.unreadSince(passes.beganAt());
         var body = Buffer.buffer();
         request.handler(bytes -> {
             if (body.length() + bytes.length() > LONGEST_BODY) {
--- a/gatherer/src/main/java/sprucehold/clients/LingeringClose.java
+++ b/gatherer/src/main/java/sprucehold/clients/LingeringClose.java
@@ -37,6 +37,8 @@
     private final Runnable flooded;
     /** Is told when its close begins, whoever asked for it. */
     private final Runnable shutting;
+    /** Is told of each read before anything is made of it. */
+    private final Runnable reading;
     private final long lingerMs;
     private State state = State.OPEN;
     private ByteBuf held = Unpooled.EMPTY_BUFFER;
@@ -45,8 +47,9 @@
     private int dropped;
 
     /** @param lingerMs how long it waits for the other side's close */
-    LingeringClose(long lingerMs, Runnable flooded, Runnable shutting) {
+    LingeringClose(long lingerMs, Runnable reading, Runnable flooded, Runnable shutting) {
         this.lingerMs = lingerMs;
+        this.reading = reading;
         this.flooded = flooded;
         this.shutting = shutting;
     }
@@ -90,6 +93,7 @@
 
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object msg) {
+        reading.run();
         if (state != State.OPEN) {
             dropped += ((ByteBuf) msg).readableBytes();
             ReferenceCountUtil.release(msg);
--- a/gatherer/src/main/java/sprucehold/clients/ScanHandler.java
+++ b/gatherer/src/main/java/sprucehold/clients/ScanHandler.java
@@ -12,6 +12,12 @@
     /** Whether a scan of this id is open. */
     boolean isOpen(Scan scan);
 
+    /**
+     * Since when what is read in a pass over the sockets that begins now may have lain unread: a time at or before {@code nowMs}.
+     * It is earlier where the event loop comes straight from other work, in which it did not look at its sockets.
+     */
+    double unreadSince(double nowMs);
+
     /** Takes a scan; its answer comes through {@link ClientServer#answer}, perhaps before this returns. */
     void take(Scan scan);
 
--- a/gatherer/src/main/java/sprucehold/node/Node.java
+++ b/gatherer/src/main/java/sprucehold/node/Node.java
@@ -4,16 +4,16 @@
 import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import io.vertx.core.internal.ContextInternal;
 import java.io.IOException;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Queue;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import java.util.logging.Level;
@@ -51,6 +51,8 @@
  */
 final class Node implements ScanHandler {
     private static final Logger LOG = Logger.getLogger(Node.class.getName());
+    /** A pass over the sockets that begins so soon after a turn comes straight from it: the loop has hardly waited between. */
+    private static final double STRAIGHT_MS = 1;
 
     private final Vertx vertx;
     private final Seat seat;
@@ -63,7 +65,7 @@
     /** What was reported since the picker was last told. */
     private final List<Report> reports = new ArrayList<>();
     /** Calls of the picker wait here until all that came in at one moment is read. */
-    private final Queue<Supplier<Orders>> calls = new ArrayDeque<>();
+    private final DecisionQueue calls = new DecisionQueue();
     private boolean carrying;
     private boolean due;
     /** The ids of scans among those calls. */
@@ -78,6 +80,11 @@
     private boolean listens;
     private long timer = -1;
     private double timerAt = Double.POSITIVE_INFINITY;
+    private boolean tickDue;
+    /** The last turn of the decisions, in which no socket was read. */
+    private double turnBeganAt = Double.NEGATIVE_INFINITY;
+    private double turnEndedAt = Double.NEGATIVE_INFINITY;
+    private double nextTickAt = Double.POSITIVE_INFINITY;
     private long scansTaken;
 
     /** The door for changes, and what goes through it; null where there is none. */
@@ -176,6 +183,11 @@
         return coming.contains(scan.id()) || picker.isOpen(scan);
     }
 
+    @Override
+    public double unreadSince(double nowMs) {
+        return nowMs - turnEndedAt < STRAIGHT_MS ? Math.min(nowMs, turnBeganAt) : nowMs;
+    }
+
     @Override
     public void take(Scan scan) {
         scansTaken++;
@@ -215,8 +227,8 @@
         ScanLog.reported(report, clock.now());
         neighbours.forEach(one -> one.reported(clock.now(), report));
         reports.add(report);
-        if (reports.size() == 1) {
-            soon(this::reported);
+        if (!carrying) {
+            runSoon();
         }
     }
 
@@ -249,25 +261,59 @@
 
     private void run() {
         carrying = true;
-        double nextTickAt = timerAt;
+        nextTickAt = timerAt;
+        turnBeganAt = clock.now();
         try {
-            while (!calls.isEmpty()) {
-                hear();
-                Orders orders = calls.poll().get();
-                nextTickAt = orders.nextTickAtMs();
-                carryOut(orders);
-            }
+            turn();
         } catch (RuntimeException e) {
             LOG.log(Level.SEVERE, "panic: orders could not be carried out", e);
             nextTickAt = clock.now();
         } finally {
             carrying = false;
         }
-        if (!calls.isEmpty()) {
-            // Left by a panic.
-            runSoon();
+        if (!calls.isEmpty() || !reports.isEmpty()) {
+            runAfterReading();
         }
         arm(nextTickAt);
+        turnEndedAt = clock.now();
+    }
+
+    /** What happened is told before anything new is begun, so that nothing is sent on for a client that has left. */
+    private void turn() {
+        decideOnReports();
+        if (tickDue) {
+            tickDue = false;
+            decide(() -> picker.tick(clock.now()));
+        }
+        calls.beginTurn(clock.now());
+        for (Supplier<Orders> call = calls.next(clock.now()); call != null; call = calls.next(clock.now())) {
+            decide(call);
+            decideOnReports();
+        }
+    }
+
+    private void decideOnReports() {
+        if (!reports.isEmpty()) {
+            decide(this::reported);
+        }
+    }
+
+    private void decide(Supplier<Orders> call) {
+        hear();
+        Orders orders = call.get();
+        nextTickAt = orders.nextTickAtMs();
+        carryOut(orders);
+    }
+
+    /** Goes on once the sockets were read: what the event loop is handed as a timer waits for that, a plain task doesn't. */
+    private void runAfterReading() {
+        if (!due) {
+            due = true;
+            ((ContextInternal) context).nettyEventLoop().schedule(() -> context.runOnContext(none -> {
+                due = false;
+                run();
+            }), 0, TimeUnit.MILLISECONDS);
+        }
     }
 
     /** What neighbours know by now, before the decisions are asked. */
@@ -280,22 +326,35 @@
         }
     }
 
+    /** Each order stands alone: one that can't be carried out must not lose an answer that is owed to a client. */
     private void carryOut(Orders orders) {
-        shards.cancel(orders.cancel());
-        shards.send(neighbours.isEmpty() ? orders.send() : permitted(orders.send()));
-        orders.uses().forEach(use -> neighbours.forEach(one -> one.use(clock.now(), use)));
-        orders.replies().forEach(reply -> {
-            if (changes != null) {
-                changes.answered(clock.now(), reply.scan(), reply.answer());
-            }
-            ScanLog.ended(reply);
-            clients.answer(reply.scan(), reply.answer());
-        });
-        shards.probe(orders.probe());
+        guarded(() -> shards.cancel(orders.cancel()));
+        guarded(() -> shards.send(neighbours.isEmpty() ? orders.send() : permitted(orders.send())));
+        guarded(() -> orders.uses().forEach(use -> neighbours.forEach(one -> one.use(clock.now(), use))));
+        orders.replies().forEach(reply -> guarded(() -> reply(reply)));
+        guarded(() -> shards.probe(orders.probe()));
         orders.notes().forEach(LOG::info);
         if (orders.askList()) {
-            watch.ask();
+            guarded(watch::ask);
+        }
+    }
+
+    private void guarded(Runnable order) {
+        try {
+            order.run();
+        } catch (RuntimeException e) {
+            LOG.log(Level.SEVERE, "panic: an order could not be carried out", e);
+            // Whatever the decisions wait for may never be told: they look again at once.
+            nextTickAt = clock.now();
+        }
+    }
+
+    private void reply(Orders.Reply reply) {
+        if (changes != null) {
+            changes.answered(clock.now(), reply.scan(), reply.answer());
         }
+        ScanLog.ended(reply);
+        clients.answer(reply.scan(), reply.answer());
     }
 
     /** Those that still have what they take of shared bounds; the others are not sent, and told of as such. */
@@ -335,7 +394,7 @@
         if (at < Double.POSITIVE_INFINITY) {
             timer = vertx.setTimer(Math.max(1, (long) Math.ceil(at - clock.now())), fired -> {
                 timerAt = Double.POSITIVE_INFINITY;
-                calls.add(() -> picker.tick(clock.now()));
+                tickDue = true;
                 run();
             });
         }
--- a/gatherer/src/test/java/sprucehold/clients/ClientServerTest.java
+++ b/gatherer/src/test/java/sprucehold/clients/ClientServerTest.java
@@ -15,6 +15,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -45,6 +46,7 @@
     private volatile boolean ready;
     private volatile double now;
     private volatile Answer atOnce;
+    private volatile double heldUpMs;
     private BlockingQueue<Scan> taken;
     private BlockingQueue<Scan> left;
 
@@ -57,6 +59,7 @@
         ready = true;
         now = 0;
         atOnce = null;
+        heldUpMs = 0;
         taken = new LinkedBlockingQueue<>();
         left = new LinkedBlockingQueue<>();
         vertx = Vertx.vertx();
@@ -77,6 +80,11 @@
                 return scan.id().equals("open");
             }
 
+            @Override
+            public double unreadSince(double nowMs) {
+                return nowMs - heldUpMs;
+            }
+
             @Override
             public void take(Scan scan) {
                 taken.add(scan);
@@ -149,6 +157,15 @@
         loop.run(() -> server.answer(scan, answer));
     }
 
+    @Test
+    public void timeThatARequestLayUnreadIsTimeThatItsClientHasWaited() throws Exception {
+        heldUpMs = 200;
+        try (Socket socket = connect(post("/q", "s", BODY))) {
+            assertEquals(taken.poll(5, TimeUnit.SECONDS).timeLeftMs(), 280.0);
+            assertTrue(socket.isConnected());
+        }
+    }
+
     @DataProvider
     Object[][] refused() {
         return new Object[][] {
@@ -449,6 +466,40 @@
         }
     }
 
+    @DataProvider
+    Object[][] forms() {
+        String needed = "X-Request-Id: s\r\nX-Class: q\r\nX-Deadline-Ms: 480\r\n";
+        String sized = needed + "Content-Length: " + BODY.length() + "\r\n";
+        String chunk = Integer.toHexString(BODY.length());
+        return new Object[][] {
+            {"POST /q HTTP/1.1\r\nHost: h\r\n" + sized + "\r\n" + BODY},
+            {"POST /q HTTP/1.1\r\nhost: h\r\n" + sized.toLowerCase(Locale.ROOT) + "\r\n" + BODY},
+            {"POST /q HTTP/1.1\r\nHOST:h\r\n" + sized.replace(": ", ":\t  ").replace("\r\n", " \r\n") + "\r\n" + BODY},
+            {"POST /q/more?x=1 HTTP/1.1\r\nHost: h\r\nX-Other: 1\r\nX-Other: 2\r\n" + sized + "\r\n" + BODY},
+            {"POST http://service.internal/q HTTP/1.1\r\nHost: service.internal\r\n" + sized + "\r\n" + BODY},
+            {"\r\nPOST /q HTTP/1.1\r\nHost: h\r\n" + sized + "\r\n" + BODY},
+            {"POST /q HTTP/1.1\r\nHost: h\r\n" + needed + "transfer-encoding: Chunked\r\n\r\n" + chunk + "\r\n" + BODY + "\r\n0\r\n\r\n"},
+            {"POST /q HTTP/1.1\r\nHost: h\r\n" + needed + "Transfer-Encoding: chunked\r\n\r\n00" + chunk.toUpperCase(Locale.ROOT)
+                + ";name=value\r\n" + BODY + "\r\n000\r\nX-Trailer: 1\r\n\r\n"},
+            {"POST /q HTTP/1.1\r\nHost: h\r\nConnection: keep-alive, close\r\n" + sized + "\r\n" + BODY},
+        };
+    }
+
+    /** Whatever form of the protocol a client chooses, and however its bytes fall into packets. */
+    @Test(dataProvider = "forms")
+    public void requestOfAnyFormIsTakenOnceAlsoByteByByte(String request) throws Exception {
+        atOnce = HIT;
+        try (Socket whole = connect(request); Socket pieces = connect("")) {
+            assertTrue(response(whole).startsWith("HTTP/1.1 200 "));
+            pieces.setTcpNoDelay(true);
+            for (byte one : request.getBytes(StandardCharsets.UTF_8)) {
+                pieces.getOutputStream().write(one);
+            }
+            assertTrue(response(pieces).startsWith("HTTP/1.1 200 "));
+        }
+        assertEquals(taken.size(), 2);
+    }
+
     @Test
     public void clientThatClosesHasLeft() throws Exception {
         Socket socket = connect(post("/q", "s", BODY));
--- a/gatherer/src/test/java/sprucehold/node/NodeTest.java
+++ b/gatherer/src/test/java/sprucehold/node/NodeTest.java
@@ -21,6 +21,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -30,11 +31,13 @@
 import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
 import org.testng.SkipException;
 import org.testng.annotations.AfterMethod;
@@ -221,6 +224,7 @@
         final List<String> heard = new ArrayList<>();
         int units;
         boolean withdrawn;
+        boolean panics;
         Others next;
 
         @Override
@@ -249,6 +253,9 @@
         @Override
         public void sent(double nowMs, Dispatch dispatch) {
             heard.add("sent " + dispatch.partId());
+            if (panics) {
+                throw new IllegalStateException("scripted");
+            }
         }
 
         @Override
@@ -276,6 +283,120 @@
         }
     }
 
+    private static Socket ask(int port, String id) throws IOException {
+        var socket = new Socket("127.0.0.1", port);
+        socket.setSoTimeout(10_000);
+        String body = "{\"buckets\":[{\"bucket\":0,\"part\":1.0}],\"body\":\"c4\"}";
+        socket.getOutputStream().write(("POST /q HTTP/1.1\r\nHost: s\r\nX-Request-Id: " + id + "\r\nX-Class: q\r\nX-Deadline-Ms: 30000\r\n"
+                + "Content-Length: " + body.length() + "\r\n\r\n" + body).getBytes(StandardCharsets.UTF_8));
+        return socket;
+    }
+
+    /** Decisions that stand still at each scan until they are told to go on, and then for longer than a turn may last. */
+    private static final class Halting implements Gatherer {
+        final BlockingQueue<String> taken = new LinkedBlockingQueue<>();
+        final Map<String, Double> timeLeftMs = new ConcurrentHashMap<>();
+        final Semaphore goOn = new Semaphore(0);
+
+        @Override
+        public List<Action> decide(double nowMs, List<Event> events) {
+            for (Event event : events) {
+                if (event instanceof Event.ScanTaken scan) {
+                    timeLeftMs.put(scan.id(), scan.timeLeftMs());
+                    taken.add(scan.id());
+                    goOn.acquireUninterruptibly();
+                    long turnEnds = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos((long) (2 * DecisionQueue.LONGEST_TURN_MS));
+                    while (System.nanoTime() < turnEnds) {
+                        Thread.onSpinWait();
+                    }
+                }
+            }
+            return List.of();
+        }
+    }
+
+    @Test
+    public void clientThatLeavesWhileOthersAreDecidedUponGetsNothingSentOn() throws Exception {
+        var halting = new Halting();
+        Node node = node((seed, facts) -> halting, PLACE, SETTINGS, KNOWN);
+        Socket first = ask(port, "first");
+        assertEquals(halting.taken.poll(10, TimeUnit.SECONDS), "first");
+        // Both are read in one pass over the sockets, and both wait to be decided upon.
+        Socket stays = ask(port, "stays");
+        Socket leaves = ask(port, "leaves");
+        halting.goOn.release();
+        assertEquals(halting.taken.poll(10, TimeUnit.SECONDS), "stays");
+        leaves.close();
+        halting.goOn.release(3);
+        Socket last = ask(port, "last");
+        assertEquals(halting.taken.poll(10, TimeUnit.SECONDS), "last");
+        for (Socket socket : List.of(first, stays, last)) {
+            socket.close();
+        }
+        end(node, DrainSchedule.NOW);
+    }
+
+    @Test
+    public void timeInWhichARequestLayUnreadIsNotGrantedToIt() throws Exception {
+        var halting = new Halting();
+        Node node = node((seed, facts) -> halting, PLACE, SETTINGS, KNOWN);
+        Socket first = ask(port, "first");
+        assertEquals(halting.taken.poll(10, TimeUnit.SECONDS), "first");
+        // It lies in the system's buffer for as long as the first is decided upon.
+        Socket unread = ask(port, "unread");
+        long writtenAt = System.nanoTime();
+        LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(50));
+        double unreadMs = (System.nanoTime() - writtenAt) / 1e6;
+        halting.goOn.release(2);
+        assertEquals(halting.taken.poll(10, TimeUnit.SECONDS), "unread");
+        double timeLeftMs = halting.timeLeftMs.get("unread");
+        assertTrue(timeLeftMs <= 30_000 - unreadMs, timeLeftMs + " ms left after " + unreadMs + " ms unread");
+        first.close();
+        unread.close();
+        end(node, DrainSchedule.NOW);
+    }
+
+    @Test
+    public void idleClientsThatFillTheDescriptorsLeaveRoomForTheListTheServersAndWhoAsks() throws Exception {
+        var calls = new LinkedBlockingQueue<HttpServerRequest>();
+        var lists = new LinkedBlockingQueue<Event.ListReceived>();
+        Gatherer.Factory factory = (seed, facts) -> (now, events) -> {
+            var actions = new ArrayList<Action>();
+            for (Event event : events) {
+                if (event instanceof Event.ListReceived list) {
+                    lists.add(list);
+                } else if (event instanceof Event.PartTaken part) {
+                    actions.add(new Action.Dispatch(part.id(), "a", 5000));
+                } else if (event instanceof Event.DispatchEnded ended) {
+                    actions.add(new Action.Answer(ended.partId().split("\\.")[0], true));
+                }
+            }
+            return actions;
+        };
+        int discovery = await(vertx.createHttpServer().requestHandler(calls::add).listen(0, "127.0.0.1")).actualPort();
+        int server = await(StandIns.shardServerAt(vertx, "127.0.0.1"));
+        Seat told = seat(PLACE, SETTINGS, KNOWN.replace("8100", String.valueOf(server)));
+        // Discovery is silent: the list is the one from before.
+        Node node = await(begin(new Seat("n", told.listen(), new Seat.Address("127.0.0.1", discovery), 5, 40, told.known(),
+                told.facts()), factory, List.of()).start);
+        var idle = new ArrayList<Socket>();
+        for (int i = 0; i < 200; i++) {
+            idle.add(new Socket("127.0.0.1", port));
+        }
+        for (String id : List.of("s", "t")) {
+            Socket asks = ask(port, id);
+            assertEquals(asks.getInputStream().readNBytes(12), "HTTP/1.1 200".getBytes(StandardCharsets.US_ASCII));
+            asks.close();
+        }
+        lists.clear();
+        calls.poll(10, TimeUnit.SECONDS).response().end("{\"index\":9,\"snapshot\":true,\"endpoints\":[]}");
+        assertTrue(lists.poll(10, TimeUnit.SECONDS).complete());
+        for (Socket socket : idle) {
+            socket.close();
+        }
+        end(node, DrainSchedule.NOW);
+    }
+
     @DataProvider
     Object[][] lenders() {
         return new Object[][] {
@@ -325,6 +446,25 @@
         assertEquals(lender.heard, heard);
     }
 
+    @Test
+    public void orderThatFailsLosesNoAnswer() throws Exception {
+        var lender = new Lender();
+        lender.panics = true;
+        Gatherer.Factory factory = (seed, facts) -> (now, events) -> {
+            boolean second = events.stream().anyMatch(event -> event instanceof Event.PartTaken part && part.id().equals("t.0"));
+            return second ? List.of(new Action.Dispatch("t.0", "a", 5000), new Action.Throttle("s", 0)) : List.of();
+        };
+        Node node = await(begin(seat(PLACE, SETTINGS, KNOWN), factory, List.of((on, at, clock) -> lender)).start);
+        Socket owed = ask(port, "s");
+        loop.until(() -> lender.heard.contains("taken s"));
+        Socket other = ask(port, "t");
+        assertEquals(owed.getInputStream().readNBytes(12), "HTTP/1.1 503".getBytes(StandardCharsets.US_ASCII));
+        assertTrue(lender.heard.contains("sent t.0"));
+        owed.close();
+        other.close();
+        end(node, DrainSchedule.NOW);
+    }
+
     @Test
     public void warmUpRunsScansThroughTheDecisionsAndLeavesNothing() throws Exception {
         var answered = new AtomicInteger();
--- a/standin/src/main/java/sprucehold/standin/StandIns.java
+++ b/standin/src/main/java/sprucehold/standin/StandIns.java
@@ -35,6 +35,12 @@
                 .map(discovery -> discovery.actualPort());
     }
 
+    /** Starts a shard server at any free port of a host, and returns the port. */
+    public static Future<Integer> shardServerAt(Vertx vertx, String host) {
+        return new StandInShardServer(vertx).listen(SocketAddress.inetSocketAddress(0, host))
+                .map(listening -> listening.actualPort());
+    }
+
     /** Starts a shard server at the path of a socket. */
     public static Future<?> shardServer(Vertx vertx, String path) {
         return new StandInShardServer(vertx).listen(SocketAddress.domainSocketAddress(path));
