Let the rig start up to 4,096 gatherers and servers, and say what its machine lacks

Addresses: hosts of a gatherer follow each other over the whole block, servers are told apart by ports. MachineNeeds: open files and memory are told before anything starts, in one line if they lack.

--- a/rig/src/main/java/sprucehold/rig/run/Run.java
+++ b/rig/src/main/java/sprucehold/rig/run/Run.java
@@ -16,6 +16,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
@@ -131,6 +132,10 @@
      */
     public static Verdict play(Script script, long seed, Home home, RunFolder folder, Consumer<String> progress)
             throws IOException {
+        Optional<String> lacking = MachineNeeds.of(script).lackingOn(MachineNeeds.Machine.here());
+        if (lacking.isPresent()) {
+            throw new IOException(lacking.get());
+        }
         try (var run = new Run(script, seed, home, folder, progress)) {
             folder.writePlan(script, run.plan);
             return run.play();
@@ -204,8 +209,8 @@
         for (int i = 0; i < plan.gatherers().size(); i++) {
             Plan.Gatherer gatherer = plan.gatherers().get(i);
             int number = i;
-            var agent = new AgentHost(vertx, this::now, ledger, list, gatherer.name(), entry -> addresses.server(number,
-                    server(entry.name())) + ":" + addresses.serverPort(entry.life()));
+            var agent = new AgentHost(vertx, this::now, ledger, list, gatherer.name(), entry -> addresses.server(number)
+                    + ":" + addresses.serverPort(server(entry.name()), entry.life()));
             agents.put(gatherer.name(), agent);
             all.add(agent.listen(addresses.discovery(i), addresses.discoveryPort()));
             gatherers.put(gatherer.name(), new GathererProcess(vertx, home, guardian, gatherer.name(),
--- a/rig/src/main/java/sprucehold/rig/script/Script.java
+++ b/rig/src/main/java/sprucehold/rig/script/Script.java
@@ -19,6 +19,9 @@
         List<Customer> customers, Servers servers, Limits limits, Deployment.ColdRule coldRule,
         Deployment.DispatchBudget budget, double frontLearnsMs, List<Load> load, List<Fault> faults, Bands bands,
         Together together) {
+    /** As many gatherers, and as many shard servers, as the rig has addresses for. */
+    public static final int MOST_GATHERERS = 4096;
+    public static final int MOST_SERVERS = 4096;
 
     /** One whose gatherers don't talk. */
     public Script(String name, double lengthS, List<Site> sites, int segments, int cells, List<Kind> tableTypes,
--- a/rig/src/main/java/sprucehold/rig/server/ServerHost.java
+++ b/rig/src/main/java/sprucehold/rig/server/ServerHost.java
@@ -78,7 +78,7 @@
                 NetServer listener = vertx.createNetServer(new NetServerOptions().setTcpNoDelay(true))
                         .connectHandler(socket -> accepted(socket, gatherer));
                 listeners.put(i, listener);
-                all.add(listener.listen(addresses.serverPort(life), addresses.server(i, number)));
+                all.add(listener.listen(addresses.serverPort(number, life), addresses.server(i)));
             }
         }
         return Future.all(all).mapEmpty();
--- /dev/null
+++ b/rig/src/test/java/sprucehold/rig/plan/AddressesTest.java
@@ -0,0 +1,44 @@
+package sprucehold.rig.plan;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.testng.annotations.Test;
+import sprucehold.rig.script.Script;
+
+public class AddressesTest {
+    @Test
+    public void eachOfAFullFleetHasAddressesOfItsOwn() throws IOException {
+        try (var addresses = Addresses.claim()) {
+            Set<String> hosts = new HashSet<>();
+            for (int gatherer = 0; gatherer < Script.MOST_GATHERERS; gatherer++) {
+                hosts.add(addresses.gatherer(gatherer));
+                hosts.add(addresses.twin(gatherer));
+                hosts.add(addresses.others(gatherer));
+                hosts.add(addresses.discovery(gatherer));
+            }
+            assertEquals(hosts.size(), 4 * Script.MOST_GATHERERS);
+            for (String host : hosts) {
+                assertTrue(InetAddress.getByName(host).isLoopbackAddress(), host);
+            }
+        }
+    }
+
+    @Test
+    public void eachServerAndEachOfItsLivesInARowHasAPortOfItsOwn() throws IOException {
+        try (var addresses = Addresses.claim()) {
+            Set<Integer> ports = new HashSet<>();
+            IntStream.range(0, Script.MOST_SERVERS).forEach(server -> {
+                ports.add(addresses.serverPort(server, 7));
+                ports.add(addresses.serverPort(server, 8));
+            });
+            assertEquals(ports.size(), 2 * Script.MOST_SERVERS);
+            assertTrue(ports.stream().allMatch(port -> port > addresses.postPort() && port < 65_536));
+        }
+    }
+}
