--- a/benchmarks/src/main/java/sprucehold/benchmarks/MassDay.java
+++ b/benchmarks/src/main/java/sprucehold/benchmarks/MassDay.java
@@ -1,10 +1,6 @@
 package sprucehold.benchmarks;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -18,7 +14,6 @@
 import java.util.function.Function;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
-import java.util.stream.Stream;
 
 /**
  * Reads the logs of all gatherers of one day, written with {@code --log-scans}, and prints where service was lost: by
@@ -26,19 +21,6 @@
  * the folder of the logs, then perhaps an id.
  */
 public final class MassDay {
-    private static final ObjectMapper JSON = new ObjectMapper();
-
-    /** One line about a scan; {@code atS} is in seconds, by the clock of whoever kept the log. */
-    private record Line(double atS, String gatherer, JsonNode fields) {
-        String text(String field) {
-            return fields.path(field).asText();
-        }
-
-        boolean says(String text) {
-            return text("text").equals(text);
-        }
-    }
-
     /** How one scan ended at one gatherer. */
     private record Ended(double takenS, String gatherer, String tableType, String cause) {
     }
@@ -51,7 +33,7 @@
             System.err.println("mass-day: needs the folder of the logs, and perhaps the id of a scan");
             System.exit(2);
         }
-        List<Line> lines = read(Path.of(args[0]));
+        List<ScanLogs.Line> lines = ScanLogs.read(Path.of(args[0]));
         if (lines.isEmpty()) {
             System.err.println("mass-day: no line about a scan in " + args[0] + ": were the gatherers run with --log-scans?");
             System.exit(1);
@@ -62,52 +44,26 @@
         }
     }
 
-    private static List<Line> read(Path folder) throws IOException {
-        var lines = new ArrayList<Line>();
-        try (Stream<Path> files = Files.list(folder)) {
-            for (Path file : files.filter(path -> path.toString().endsWith(".log")).sorted().toList()) {
-                String gatherer = file.getFileName().toString().replace(".log", "");
-                try (Stream<String> text = Files.lines(file)) {
-                    text.filter(line -> line.contains("\"logger\":\"sprucehold.scans\""))
-                            .forEach(line -> add(lines, gatherer, line));
-                }
-            }
-        }
-        lines.sort(Comparator.comparingDouble(Line::atS));
-        return lines;
-    }
-
-    /** A line is the bench's time in seconds and then what the gatherer wrote; one cut short by a kill is passed over. */
-    private static void add(List<Line> lines, String gatherer, String line) {
-        int brace = line.indexOf('{');
-        try {
-            lines.add(new Line(Double.parseDouble(line.substring(0, brace).strip()), gatherer,
-                    JSON.readTree(line.substring(brace))));
-        } catch (JsonProcessingException | NumberFormatException e) {
-            System.err.println("mass-day: passed over in " + gatherer + ": " + e.getMessage().lines().findFirst().orElse(""));
-        }
-    }
-
-    private static void follow(List<Line> lines, String id) {
-        List<Line> its = lines.stream().filter(line -> line.text("scan").equals(id)).toList();
+    private static void follow(List<ScanLogs.Line> lines, String id) {
+        List<ScanLogs.Line> its = lines.stream().filter(line -> line.text("scan").equals(id)).toList();
         if (its.isEmpty()) {
             System.out.println("no gatherer's log names scan " + id);
         }
-        for (Line line : its) {
+        for (ScanLogs.Line line : its) {
             var rest = new StringBuilder();
-            line.fields.properties().stream()
+            line.fields().properties().stream()
                     .filter(field -> !Set.of("time", "level", "logger", "text", "scan").contains(field.getKey()))
                     .forEach(field -> rest.append(' ').append(field.getKey()).append('=').append(field.getValue().asText()));
-            System.out.printf(Locale.ROOT, "%8.3f %-5s %s:%s%n", line.atS, line.gatherer, line.text("text"), rest);
+            System.out.printf(Locale.ROOT, "%8.3f %-5s %s:%s%n", line.atS(), line.gatherer(), line.text("text"), rest);
         }
     }
 
-    private static List<Ended> ended(List<Line> lines) {
-        Map<String, Line> open = new HashMap<>();
+    private static List<Ended> ended(List<ScanLogs.Line> lines) {
+        Map<String, ScanLogs.Line> open = new HashMap<>();
         Set<String> left = new HashSet<>();
         var ended = new ArrayList<Ended>();
-        for (Line line : lines) {
-            String key = line.gatherer + " " + line.text("scan");
+        for (ScanLogs.Line line : lines) {
+            String key = line.gatherer() + " " + line.text("scan");
             if (line.says("a scan is taken")) {
                 open.put(key, line);
             } else if (line.says("a client has left")) {
@@ -120,17 +76,17 @@
         return ended;
     }
 
-    private static Ended of(Line taken, String cause) {
-        return new Ended(taken.atS, taken.gatherer, taken.text("table_type"), cause);
+    private static Ended of(ScanLogs.Line taken, String cause) {
+        return new Ended(taken.atS(), taken.gatherer(), taken.text("table_type"), cause);
     }
 
-    private static void print(List<Line> lines) {
+    private static void print(List<ScanLogs.Line> lines) {
         List<Ended> scans = ended(lines);
         double from = scans.stream().mapToDouble(Ended::takenS).min().orElse(0);
         double third = Math.max(1e-9, (scans.stream().mapToDouble(Ended::takenS).max().orElse(0) - from) / 3);
         Function<Ended, String> byThird = scan -> String.format(Locale.ROOT, "from %.1f s",
                 from + third * Math.min(2, Math.floor((scan.takenS - from) / third)));
-        System.out.println(scans.size() + " scans taken by " + lines.stream().map(Line::gatherer).distinct().count()
+        System.out.println(scans.size() + " scans taken by " + lines.stream().map(ScanLogs.Line::gatherer).distinct().count()
                 + " gatherers that logged any");
         table("cause by table type", scans, Ended::tableType, scan -> true);
         table("cause by third of the day", scans, byThird, scan -> true);
@@ -160,17 +116,17 @@
     }
 
     /** How dispatches ended, by third, and the servers at which most failed. */
-    private static void dispatches(List<Line> lines, double from, double third) {
-        List<Line> ended = lines.stream().filter(line -> line.says("a dispatch has ended")).toList();
+    private static void dispatches(List<ScanLogs.Line> lines, double from, double third) {
+        List<ScanLogs.Line> ended = lines.stream().filter(line -> line.says("a dispatch has ended")).toList();
         Map<String, Map<String, Long>> cells = ended.stream().collect(Collectors.groupingBy(line -> line.text("outcome"),
                 TreeMap::new, Collectors.groupingBy(line -> String.format(Locale.ROOT, "from %.1f s",
-                        from + third * Math.max(0, Math.min(2, Math.floor((line.atS - from) / third)))), Collectors.counting())));
+                        from + third * Math.max(0, Math.min(2, Math.floor((line.atS() - from) / third)))), Collectors.counting())));
         print("dispatches by how they ended", cells, cells.values().stream().flatMap(row -> row.keySet().stream()).distinct()
                 .sorted(Comparator.comparing(String::length).thenComparing(Comparator.naturalOrder())).toList());
         Map<String, Long> sent = ended.stream().collect(Collectors.groupingBy(line -> line.text("server"),
                 Collectors.counting()));
         double mean = sent.values().stream().mapToLong(count -> count).average().orElse(0);
-        long pairs = ended.stream().map(line -> line.gatherer + " " + line.text("server")).distinct().count();
+        long pairs = ended.stream().map(line -> line.gatherer() + " " + line.text("server")).distinct().count();
         System.out.printf(Locale.ROOT, "%n%d servers were sent to by %d pairs of gatherer and server; dispatches a server: "
                 + "mean %.1f, most %d%n", sent.size(), pairs, mean, sent.values().stream().mapToLong(c -> c).max().orElse(0));
         Map<String, Long> failed = ended.stream()
