Aim cold lots nearer to what a cold server may get

Change: N + 2 - 1.5*sqrt(N), N at the most, and half as much traffic again. The sum over 2 to 100 gatherers still stands (BrainTest, 18 rows).

--- a/core/src/main/java/sprucehold/brain/Brain.java
+++ b/core/src/main/java/sprucehold/brain/Brain.java
@@ -636,15 +636,16 @@
 
     /**
      * The chance of a lot, so that all gatherers together send a cold server the parts that it may get in a
-     * window, less one and a half standard deviations of their sum: the rule grants two more, and two parts.
-     * A gatherer that has a part for it in few windows draws better lots, and the others are taken to be like
-     * it. Twice its parts of the last seconds, one in two windows at least: room for traffic that shifts.
+     * window and two, less one and a half standard deviations of their sum, but no more than it may get: the
+     * rule grants two of those more, and two parts. A gatherer that has a part for it in few windows draws
+     * better lots, and the others are taken to be like it. Half as many parts again as lately leave room for
+     * traffic that shifts.
      */
     private double lotChance(double parts) {
-        double aimed = Math.max(parts / 2, parts - 1.5 * Math.sqrt(parts));
+        double aimed = Math.min(parts, parts + 2 - 1.5 * Math.sqrt(parts));
         double running = Math.max(1, srvsById.values().stream().filter(srv -> srv.running).count());
         double wanted = sendsPerMs() * facts.coldRule().windowMs() / running;
-        return aimed / facts.gatherers() / (1 - Math.exp(-Math.max(0.5, 2 * wanted)));
+        return aimed / facts.gatherers() / (1 - Math.exp(-Math.max(0.3, 1.5 * wanted)));
     }
 
     /** Long beside the gaps between a quiet gatherer's scans, short beside a server's warming up. */
