--- a/core/src/main/java/sprucehold/picker/Dispatch.java
+++ b/core/src/main/java/sprucehold/picker/Dispatch.java
@@ -4,6 +4,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.stream.Stream;
 import sprucehold.port.Action;
+import sprucehold.port.Reason;
 
 /** One sending of a part to a shard server. */
 public final class Dispatch {
@@ -17,11 +18,16 @@
     boolean neverRan;
     private final ShardServer server;
     private final List<Action.Use> uses;
+    private final Reason reason;
     private BooleanSupplier leave = () -> true;
 
-    /** @param uses what it takes of shared bounds */
-    Dispatch(OpenPart part, ShardServer server, double sentAt, double patienceMs, List<Action.Use> uses) {
+    /**
+     * @param uses what it takes of shared bounds
+     * @param reason why the decisions want it
+     */
+    Dispatch(OpenPart part, ShardServer server, double sentAt, double patienceMs, List<Action.Use> uses, Reason reason) {
         this.uses = uses;
+        this.reason = reason;
         this.part = part;
         this.number = part.dispatches.size();
         this.server = server;
@@ -45,6 +51,16 @@
         return part.scan.scan;
     }
 
+    /** Its place among the attempts of its part, from 0. */
+    public int number() {
+        return number;
+    }
+
+    /** Why the decisions want it. */
+    public Reason reason() {
+        return reason;
+    }
+
     /** How long it has been out at a moment, in milliseconds. */
     public double outMs(double nowMs) {
         return nowMs - sentAt;
--- a/core/src/main/java/sprucehold/picker/Picker.java
+++ b/core/src/main/java/sprucehold/picker/Picker.java
@@ -282,7 +282,8 @@
         if (part == null) {
             return;
         }
-        var dispatch = new Dispatch(part, servers.get(wanted.server()), now, wanted.timeoutMs(), takes);
+        var dispatch = new Dispatch(part, servers.get(wanted.server()), now, wanted.timeoutMs(), takes,
+                wanted.reason());
         part.dispatches.add(dispatch);
         if (part.scan.over || wanted.timeoutMs() <= 0 || dispatch.server() == null) {
             ended(dispatch, Ending.NEVER_SENT, null);
--- a/gatherer/src/main/java/sprucehold/node/Node.java
+++ b/gatherer/src/main/java/sprucehold/node/Node.java
@@ -67,6 +67,7 @@
     /** The ids of scans among those calls. */
     private final Set<String> coming = new HashSet<>();
     private final Context context;
+    private final SocketPasses passes;
     private boolean hasList;
     /** How it ends; null while it serves. */
     private Drain drain;
@@ -105,6 +106,7 @@
             List<Neighbour.Factory> beside) {
         this.vertx = vertx;
         this.context = vertx.getOrCreateContext();
+        this.passes = new SocketPasses(clock::now, this::schedule);
         this.seat = seat;
         var deployment = seat.facts().deployment();
         this.tableTypes = deployment.tableTypes().stream().map(TableType::name).collect(Collectors.toSet());
@@ -112,7 +114,8 @@
         Gatherer.Factory behind = admin == null ? factory : admin.behindWords(factory);
         this.picker = new Picker(behind.start(seat.seed(), deployment), deployment);
         this.shards = new ShardServers(vertx, seat.facts().connections(), deployment.layout().callParts(),
-                seat.facts().loadByProbe(), clock::now, this::report);
+                seat.facts().loadByProbe(), clock::now, this::report,
+                attempt -> ScanLog.begun(attempt, clock.now()));
         this.watch = new Watch(vertx, seat.discovery().host(), seat.discovery().port(), deployment.layout().cells(),
                 deployment.listAccess().mustAsk(), deployment.listAccess().askWithinMs(), clock::now, this::report);
         this.clients = new ClientServer(vertx, seat.facts().segments(), seat.sockets() / 2, this, clock::now);
@@ -296,13 +299,19 @@
     private void runAfterReading() {
         if (!due) {
             due = true;
-            ((ContextInternal) context).nettyEventLoop().schedule(() -> context.runOnContext(none -> {
+            schedule(0, () -> {
                 due = false;
                 run();
-            }), 0, TimeUnit.MILLISECONDS);
+            });
         }
     }
 
+    /** A task's timer, even one of no delay, fires after the sockets were read once more. */
+    private void schedule(long delayMs, Runnable work) {
+        ((ContextInternal) context).nettyEventLoop().schedule(() -> context.runOnContext(none -> work.run()), delayMs,
+                TimeUnit.MILLISECONDS);
+    }
+
     /** What neighbours know by now, before the decisions are asked. */
     private void hear() {
         for (Neighbour one : neighbours) {
@@ -423,7 +432,8 @@
         ended = (listens ? drained() : Future.<Void>succeededFuture()).compose(done -> clients.close()).compose(done -> closeAdmin())
                 .compose(done -> Future.join(neighbours.stream().map(Neighbour::end).toList()).otherwiseEmpty()).map(closed -> {
             watch.stop();
-            LOG.info("end: " + scansTaken + " scans taken, " + picker.openScans() + " left open");
+            passes.stop();
+            LOG.info("end: " + scansTaken + " scans taken, " + picker.openScans() + " left open, " + passes.summary());
             return null;
         });
         return ended;
--- a/gatherer/src/main/java/sprucehold/node/ScanLog.java
+++ b/gatherer/src/main/java/sprucehold/node/ScanLog.java
@@ -6,6 +6,7 @@
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import sprucehold.picker.Answer;
+import sprucehold.picker.Dispatch;
 import sprucehold.picker.Orders;
 import sprucehold.picker.Outcome;
 import sprucehold.picker.Report;
@@ -52,6 +53,15 @@
         }
     }
 
+    /** An attempt is written now; {@code waited_ms} counts from when the decisions wanted it. */
+    static void begun(Dispatch attempt, double nowMs) {
+        if (LOG.isLoggable(Level.INFO)) {
+            log("an attempt begins", fields(attempt.scan(), "segment", attempt.segment(), "number", attempt.number(),
+                    "server", attempt.server().name(), "reason", attempt.reason().name(),
+                    "waited_ms", rounded(attempt.outMs(nowMs)), "told_ms", rounded(attempt.patienceLeftMs(nowMs))));
+        }
+    }
+
     static void ended(Orders.Reply reply) {
         if (LOG.isLoggable(Level.INFO)) {
             String outcome = reply.answer() instanceof Answer.Completed completed ? completed.whole() ? "whole" : "part"
--- /dev/null
+++ b/gatherer/src/main/java/sprucehold/node/SocketPasses.java
@@ -0,0 +1,87 @@
+package sprucehold.node;
+
+import java.util.function.DoubleSupplier;
+import java.util.logging.Logger;
+
+/**
+ * The passes of the event loop over its sockets. In each pass the loop asks the system once which sockets can be read, reads
+ * those, and then does the work that was handed to it. This class knows when a pass has asked the system, and from that since
+ * when something that is read now may have lain unread; a heartbeat keeps that knowledge fresh while nothing else happens, and
+ * tells hold-ups of the process: a stopped process, a spent CPU quota, a long collection. Pure: timers and clock are handed in.
+ */
+final class SocketPasses {
+    private static final Logger LOG = Logger.getLogger(SocketPasses.class.getName());
+    /** How old the knowledge of the last pass becomes at rest. Fifty wake-ups a second cost under a thousandth of a core. */
+    static final long HEARTBEAT_MS = 20;
+    /** What sound passes and heartbeats stay under; an error of that size is a third of what may be told too much. */
+    static final double ON_TIME_MS = 50;
+    /** A heartbeat that is so late is told of: a client's close then lies unread for as long as an attempt may follow it. */
+    static final double HELD_UP_MS = 100;
+    private static final double TELL_EACH_MS = 1000;
+
+    /** Timers of the event loop. */
+    @FunctionalInterface
+    interface Timers {
+        /**
+         * Has work done once so much time has passed, in the part of a pass that comes after its sockets were read. Work that
+         * is handed over in that part, whatever its delay, is done in a later pass.
+         */
+        void schedule(long delayMs, Runnable work);
+    }
+
+    private final DoubleSupplier clock;
+    private final Timers timers;
+    /** The last pass that is known to have read its sockets asked the system after this moment. */
+    private double polledAfter;
+    private boolean stopped;
+    private long holdUps;
+    private double longestMs;
+    private double toldAt = Double.NEGATIVE_INFINITY;
+
+    /** To be made where timers may be set: in the part of a pass after its sockets were read. */
+    SocketPasses(DoubleSupplier clock, Timers timers) {
+        this.clock = clock;
+        this.timers = timers;
+        this.polledAfter = clock.getAsDouble();
+        beat();
+    }
+
+    private void beat() {
+        double from = clock.getAsDouble();
+        timers.schedule(HEARTBEAT_MS, () -> {
+            if (stopped) {
+                return;
+            }
+            polledAfter = Math.max(polledAfter, from);
+            heldUp(clock.getAsDouble() - from - HEARTBEAT_MS);
+            beat();
+        });
+    }
+
+    private void heldUp(double ms) {
+        if (ms < HELD_UP_MS) {
+            return;
+        }
+        holdUps++;
+        longestMs = Math.max(longestMs, ms);
+        double now = clock.getAsDouble();
+        if (now - toldAt >= TELL_EACH_MS) {
+            toldAt = now;
+            LOG.info("the event loop was held up for " + Math.round(ms) + " ms; " + summary());
+        }
+    }
+
+    /** Since when something that is read at a moment may have lain unread: that moment itself where the loop is on time. */
+    double unreadSince(double nowMs) {
+        return nowMs - polledAfter <= ON_TIME_MS ? nowMs : polledAfter;
+    }
+
+    /** How often and how long the loop was held up. */
+    String summary() {
+        return holdUps + " hold-ups, the longest " + Math.round(longestMs) + " ms";
+    }
+
+    void stop() {
+        stopped = true;
+    }
+}
--- a/gatherer/src/main/java/sprucehold/shards/ShardLink.java
+++ b/gatherer/src/main/java/sprucehold/shards/ShardLink.java
@@ -24,6 +24,8 @@
     interface Owner {
         double now();
 
+        void begun(Dispatch dispatch);
+
         void ended(Dispatch dispatch, Outcome outcome);
 
         void probeEnded(ShardLink link, Outcome outcome, double tookMs);
@@ -149,6 +151,7 @@
         }
         List<Flight> out = call.stream().map(dispatch -> new Flight(dispatch, now)).toList();
         out.forEach(flight -> flights.put(flight.dispatch.partId(), flight));
+        call.forEach(owner::begun);
         Future<Void> write = socket.write(GathererFrame.call(call, now));
         out.forEach(flight -> flight.write = write);
         write.onFailure(failure -> out.forEach(flight -> {
--- a/gatherer/src/main/java/sprucehold/shards/ShardServers.java
+++ b/gatherer/src/main/java/sprucehold/shards/ShardServers.java
@@ -31,6 +31,7 @@
     private final boolean loadByProbe;
     private final DoubleSupplier clock;
     private final Consumer<Report> reports;
+    private final AttemptListener attempts;
     private final Map<ShardServer, Peer> peers = new HashMap<>();
 
     private final class Peer implements ShardLink.Owner {
@@ -47,6 +48,11 @@
             return clock.getAsDouble();
         }
 
+        @Override
+        public void begun(Dispatch dispatch) {
+            attempts.begun(dispatch);
+        }
+
         @Override
         public void ended(Dispatch dispatch, Outcome outcome) {
             reports.accept(new Report.DispatchEnded(dispatch, outcome));
@@ -89,7 +95,8 @@
     }
 
     public ShardServers(Vertx vertx, Connections limits, int callParts, boolean loadByProbe, DoubleSupplier clock,
-            Consumer<Report> reports) {
+            Consumer<Report> reports, AttemptListener attempts) {
+        this.attempts = attempts;
         this.limits = limits;
         this.callParts = callParts;
         this.loadByProbe = loadByProbe;
--- /dev/null
+++ b/gatherer/src/test/java/sprucehold/node/SocketPassesTest.java
@@ -0,0 +1,72 @@
+package sprucehold.node;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** What is known of the passes over the sockets, on a clock and timers of the test's own. */
+public class SocketPassesTest {
+    private record Timer(double at, Runnable work) {
+    }
+
+    private double now;
+    private List<Timer> timers;
+    private SocketPasses passes;
+
+    @BeforeMethod
+    public void begin() {
+        now = 1000;
+        timers = new ArrayList<>();
+        passes = new SocketPasses(() -> now, (delayMs, work) -> timers.add(new Timer(now + delayMs, work)));
+    }
+
+    /** A pass at a moment: the sockets are read, then the timers that are due fire. */
+    private void pass(double at) {
+        now = at;
+        List<Timer> due = timers.stream().filter(timer -> timer.at <= now).toList();
+        timers.removeAll(due);
+        due.forEach(timer -> timer.work.run());
+    }
+
+    @Test
+    public void whatIsReadWhileTheLoopIsOnTimeLayUnreadForNoTime() {
+        for (int i = 1; i <= 20; i++) {
+            pass(1000 + i * SocketPasses.HEARTBEAT_MS);
+        }
+        assertEquals(passes.unreadSince(1410), 1410.0);
+        assertEquals(passes.summary(), "0 hold-ups, the longest 0 ms");
+    }
+
+    @Test
+    public void whatIsReadAfterAHoldUpMayHaveLainUnreadSinceBeforeIt() {
+        pass(1020);
+        pass(1040);
+        // Held up from 1041 on. The pass at 1040 asked the system after the heartbeat before it was set, at 1020.
+        assertEquals(passes.unreadSince(1191), 1020.0);
+        pass(1191);
+        // The pass at 1191 is known to have asked after 1040 only, so what it left may be as old.
+        assertEquals(passes.unreadSince(1192), 1040.0);
+        pass(1211);
+        assertEquals(passes.unreadSince(1212), 1212.0);
+    }
+
+    @Test
+    public void holdUpsAreCountedAndTheLongestIsKept() {
+        pass(1020 + SocketPasses.HELD_UP_MS - 1);
+        assertEquals(passes.summary(), "0 hold-ups, the longest 0 ms");
+        pass(now + SocketPasses.HEARTBEAT_MS + 150);
+        pass(now + SocketPasses.HEARTBEAT_MS + 130);
+        assertEquals(passes.summary(), "2 hold-ups, the longest 150 ms");
+    }
+
+    @Test
+    public void aStoppedHeartbeatSetsNoFurtherTimer() {
+        passes.stop();
+        pass(1020);
+        assertTrue(timers.isEmpty());
+    }
+}
--- a/gatherer/src/test/java/sprucehold/shards/ShardServersTest.java
+++ b/gatherer/src/test/java/sprucehold/shards/ShardServersTest.java
@@ -85,7 +85,7 @@
         int port = server.listen(0, "127.0.0.1").toCompletionStage().toCompletableFuture().get(5, TimeUnit.SECONDS)
                 .actualPort();
         shards = loop.call(() -> new ShardServers(vertx, new Connections(5000, 15_000, parts), callParts, false, () -> now,
-                this::reported));
+                this::reported, attempt -> { }));
         var type = new TableType("q", repeat, 100, 1, 0, 150, 1, 1, 0);
         picker = new Picker((time, events) -> events.stream().flatMap(event -> event instanceof Event.PartTaken part
                 ? Stream.of((Action) new Action.Dispatch(part.id(), "a", 240.9))
