Judge runs as strictly as the terms: a pause excuses no attempt, close or drain

Cause of the blind spot: RuleChecker.heardAt moved the moment of a client's close and of a drain to the end of any pause, and excused() freed whatever was open in one. The terms free nothing for a hold-up. Now a SIGKILL alone ends what is owed; a pause only moves the time of an answer that falls due within it; what an attempt tells its server is compared with what its client has left (150 ms of slack). One row of VerdictTest (a drain told in a pause) now expects a breach, by the terms. New script held-up-among-leaving.

--- a/cli/src/main/java/sprucehold/cli/RigCommand.java
+++ b/cli/src/main/java/sprucehold/cli/RigCommand.java
@@ -37,8 +37,9 @@
     }
 
     private static final String SCRIPT = "a file by deploy/rig.schema.json, or one of those that come along: calm, one-killed, "
-            + "half-killed, site-cut, deaf, rolling-restart, restarts-among-hanging, grey, four-sites, together, together-cut, together-alone, "
-            + "together-deaf, together-paused, together-clocks, together-killed, together-liar, together-twin, together-flood";
+            + "half-killed, site-cut, deaf, rolling-restart, restarts-among-hanging, held-up-among-leaving, grey, four-sites, together, "
+            + "together-cut, together-alone, together-deaf, together-paused, together-clocks, together-killed, together-liar, "
+            + "together-twin, together-flood";
 
     /** Plays, writes the page and prints the verdict. */
     private static Verdict play(Script script, long seed, Path folder, boolean quiet) throws IOException {
--- a/rig/src/main/java/sprucehold/rig/script/ScriptReader.java
+++ b/rig/src/main/java/sprucehold/rig/script/ScriptReader.java
@@ -31,8 +31,8 @@
 public final class ScriptReader {
     /** The scripts that come with the rig, by the names under which they are asked for. */
     public static final List<String> SHIPPED = List.of("calm", "one-killed", "half-killed", "site-cut", "deaf",
-            "rolling-restart", "restarts-among-hanging", "grey", "four-sites", "together", "together-cut", "together-alone", "together-deaf", "together-paused",
-            "together-clocks", "together-killed", "together-liar", "together-twin", "together-flood");
+            "rolling-restart", "restarts-among-hanging", "held-up-among-leaving", "grey", "four-sites", "together", "together-cut",
+            "together-alone", "together-deaf", "together-paused", "together-clocks", "together-killed", "together-liar", "together-twin", "together-flood");
     private static final ObjectMapper JSON = JsonMapper.builder().enable(JsonParser.Feature.STRICT_DUPLICATE_DETECTION)
             .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS).build();
 
--- a/rig/src/main/java/sprucehold/rig/server/ServerHost.java
+++ b/rig/src/main/java/sprucehold/rig/server/ServerHost.java
@@ -217,11 +217,12 @@
                 String body = text.substring(lineEnd + 1, textEnd);
                 String scan = line[0].substring(0, line[0].lastIndexOf('.'));
                 int segment = Integer.parseInt(line[1]);
-                ledger.add(new Seen.Arrived(readMs, gatherer, server.name(), scan, segment));
+                double toldMs = Double.parseDouble(line[2].substring(2));
+                ledger.add(new Seen.Arrived(readMs, gatherer, server.name(), scan, segment, toldMs));
                 outs++;
                 out.accept(gatherer, 1);
                 carryOut(model.arrives(clock.getAsDouble(), new ServerModel.Arrival(this, gatherer, line[0], scan, segment,
-                        body.substring(0, Math.max(0, body.lastIndexOf('.'))), Double.parseDouble(line[2].substring(2)))));
+                        body.substring(0, Math.max(0, body.lastIndexOf('.'))), toldMs)));
                 at = textEnd;
             }
         }
--- a/rig/src/main/java/sprucehold/rig/verdict/Judge.java
+++ b/rig/src/main/java/sprucehold/rig/verdict/Judge.java
@@ -18,8 +18,10 @@
     private static final double SLACK_MS = 250;
     /** A gatherer that was told of a drain has so long, as the platform says. */
     private static final double GRACE_MS = 250;
-    /** What was written before may be on its way so long. */
+    /** What was written before may be on its way so long; for a client's close, the 100 ms and 50 ms of the platform. */
     private static final double WAY_MS = 150;
+    /** The slack of the time that an attempt tells. */
+    private static final double TOLD_MS = 150;
     /** Beyond these the rig was starved: a timer that is later than the rules' slack tells nothing of others. */
     private static final double LATE_P99_MS = 50;
     private static final double LATE_MOST_MS = 200;
@@ -32,7 +34,7 @@
                 .collect(Collectors.toMap(TableType::name, type -> type)), script.budget(),
                 script.together() == null || script.together().further() == 0 ? null
                         : new Terms.FleetBudget(script.together().further(), script.together().furtherWindowMs()),
-                SLACK_MS, GRACE_MS, WAY_MS);
+                SLACK_MS, GRACE_MS, WAY_MS, TOLD_MS);
     }
 
     /**
--- a/rig/src/test/java/sprucehold/rig/VerdictTest.java
+++ b/rig/src/test/java/sprucehold/rig/VerdictTest.java
@@ -25,7 +25,7 @@
 public class VerdictTest {
     private static final Figures.Self IN_TIME = new Figures.Self(1, 5, 0.5, 80, 0.1, 0);
     private static final Seen.Asked ASKED = new Seen.Asked(100, "a-0", "s", "stamps", 1500, Map.of(1, 1.0));
-    private static final Seen.Arrived ARRIVED = new Seen.Arrived(110, "a-0", "x", "s", 1);
+    private static final Seen.Arrived ARRIVED = new Seen.Arrived(110, "a-0", "x", "s", 1, 500);
     private static final Seen.Ran RAN = new Seen.Ran(120, "x", "s", 1, "v");
     private static final Seen.Answered ANSWERED = new Seen.Answered(130, "s", Seen.Answer.COMPLETED, true, Map.of(1, "v"));
 
@@ -45,12 +45,17 @@
             {"no answer as it was paused", List.of(ASKED, held(300, 4000, false)), false},
             {"late by its pause", List.of(ASKED, held(300, 4000, false), throttled(4010)), false},
             {"late for nothing", List.of(ASKED, throttled(4010)), true},
+            {"no answer though its pause was over in time", List.of(ASKED, held(300, 1000, false)), true},
+            {"closed as it was paused", List.of(ASKED, held(300, 1000, false), closed(1001)), true},
+            {"sent for a client that left in its pause", List.of(ASKED, held(110, 310, false), left(120), late(312)), true},
+            {"sent before its pause for a client that left", List.of(ASKED, left(120), late(260)), false},
+            {"told more than its client has left", List.of(ASKED, told(110, 1800), ANSWERED), true},
             {"a pause excuses no effect twice", List.of(ASKED, ARRIVED, RAN, held(300, 900, false),
                     new Seen.Ran(400, "y", "s", 1, "w"), ANSWERED), true},
             {"a pause excuses no lie", List.of(ASKED, ARRIVED, RAN, held(300, 900, false),
                     new Seen.Answered(950, "s", Seen.Answer.COMPLETED, true, Map.of(1, "other"))), true},
             {"sent to a drained server", List.of(ASKED, told(100), late(700)), true},
-            {"told of the drain while it was paused", List.of(ASKED, told(100), held(90, 600, false), late(700)), false},
+            {"told of the drain while it was paused", List.of(ASKED, told(100), held(90, 600, false), late(700)), true},
             {"paused long after it was told of the drain", List.of(ASKED, told(100), held(600, 690, false), late(700)), true},
             {"pushed over", List.of(new Seen.FellOver(5, "x", Map.of("a-0", 900.0, "b-0", 800.0))), true},
         };
@@ -68,8 +73,16 @@
         return new Seen.Told(at, "a-0", "x", Listing.Mode.DRAINING);
     }
 
+    private static Seen.Left left(double at) {
+        return new Seen.Left(at, "s");
+    }
+
+    private static Seen.Arrived told(double at, double toldMs) {
+        return new Seen.Arrived(at, "a-0", "x", "s", 1, toldMs);
+    }
+
     private static Seen.Arrived late(double at) {
-        return new Seen.Arrived(at, "a-0", "x", "s", 1);
+        return new Seen.Arrived(at, "a-0", "x", "s", 1, 500);
     }
 
     @Test(dataProvider = "runs")
--- a/standin/src/main/java/sprucehold/standin/ledger/Seen.java
+++ b/standin/src/main/java/sprucehold/standin/ledger/Seen.java
@@ -34,8 +34,12 @@
     record Left(double atMs, String scan) implements Seen {
     }
 
-    /** The last byte of a part's frame has arrived at a shard server. */
-    record Arrived(double atMs, String gatherer, String server, String scan, int segment) implements Seen {
+    /**
+     * The last byte of a part's frame has arrived at a shard server.
+     *
+     * @param toldMs how long its answer is waited for, as the frame says
+     */
+    record Arrived(double atMs, String gatherer, String server, String scan, int segment, double toldMs) implements Seen {
     }
 
     /** A shard server has run a part: its effect has happened. */
--- a/standin/src/main/java/sprucehold/standin/rules/RuleChecker.java
+++ b/standin/src/main/java/sprucehold/standin/rules/RuleChecker.java
@@ -106,14 +106,11 @@
             return;
         }
         scan.answered = answered;
-        if (excused(scan, answered.atMs())) {
-            // What a killed gatherer held is no longer its duty, and one that is paused can't answer.
-            if (answered.answer() == Seen.Answer.CLOSED) {
-                return;
+        if (answered.answer() == Seen.Answer.CLOSED) {
+            if (!killed(scan, answered.atMs())) {
+                broken(Rule.ONE_ANSWER, answered.atMs(), "scan " + answered.scan() + " was closed without an answer");
             }
-        } else if (answered.answer() == Seen.Answer.CLOSED) {
-            broken(Rule.ONE_ANSWER, answered.atMs(), "scan " + answered.scan() + " was closed without an answer");
-        } else if (answered.atMs() > scan.asked.atMs() + scan.asked.timeLeftMs() + terms.slackMs()) {
+        } else if (answered.atMs() > dueMs(scan) && !killed(scan, answered.atMs())) {
             broken(Rule.ONE_ANSWER, answered.atMs(), "scan " + answered.scan() + " was answered "
                     + (answered.atMs() - scan.asked.atMs()) + " ms after it was asked, its client waited "
                     + scan.asked.timeLeftMs());
@@ -149,17 +146,18 @@
         }
     }
 
-    /** Whether a scan's gatherer was killed or paused at some moment between its begin and its end. */
-    private boolean excused(Scan scan, double endMs) {
+    /** Whether a scan's gatherer was killed at some moment between its begin and its end: what it held is no longer its duty. */
+    private boolean killed(Scan scan, double endMs) {
         return heldUp.getOrDefault(scan.asked.gatherer(), List.of()).stream()
-                .anyMatch(held -> held.atMs() <= endMs && held.untilMs() >= scan.asked.atMs());
+                .anyMatch(held -> held.killed() && held.atMs() <= endMs && held.untilMs() >= scan.asked.atMs());
     }
 
-    /** When a gatherer can have heard what was told it at a time: not while it was held up. */
-    private double heardAt(String gatherer, double toldMs, double withinMs) {
-        return heldUp.getOrDefault(gatherer, List.of()).stream()
-                .filter(held -> held.atMs() <= toldMs + withinMs && held.untilMs() >= toldMs)
-                .mapToDouble(Seen.HeldUp::untilMs).reduce(toldMs, Math::max);
+    /** Until when a scan has to be answered. A gatherer that is paused at that moment can't answer before it goes on. */
+    private double dueMs(Scan scan) {
+        double due = scan.asked.atMs() + scan.asked.timeLeftMs();
+        return terms.slackMs() + heldUp.getOrDefault(scan.asked.gatherer(), List.of()).stream()
+                .filter(held -> held.atMs() <= due + terms.slackMs() && held.untilMs() >= due)
+                .mapToDouble(Seen.HeldUp::untilMs).reduce(due, Math::max);
     }
 
     private void arrived(Seen.Arrived arrived) {
@@ -168,15 +166,20 @@
             broken(Rule.ONE_ANSWER, arrived.atMs(), "a part of scan " + arrived.scan() + ", which nobody asked");
             return;
         }
-        if (arrived.atMs() > heardAt(arrived.gatherer(), scan.overMs(), terms.wayMs()) + terms.wayMs()) {
+        // A pause moves none of these moments: what a gatherer does when it goes on, it does by what has reached it until then.
+        if (arrived.atMs() > scan.overMs() + terms.wayMs()) {
             broken(Rule.ONE_ANSWER, arrived.atMs(), "a part of scan " + arrived.scan() + " came "
                     + (arrived.atMs() - scan.overMs()) + " ms after it was over");
         }
+        double left = scan.asked.atMs() + scan.asked.timeLeftMs() - arrived.atMs();
+        if (arrived.toldMs() > left + terms.toldMs() + terms.wayMs()) {
+            broken(Rule.ONE_ANSWER, arrived.atMs(), "a part of scan " + arrived.scan() + " was told " + arrived.toldMs()
+                    + " ms, its client had " + left + " left");
+        }
         Double told = drainsSince.get(arrived.gatherer() + " " + arrived.server());
-        Double drains = told == null ? null : heardAt(arrived.gatherer(), told, terms.graceMs());
-        if (drains != null && arrived.atMs() > drains + terms.graceMs() + terms.wayMs()) {
+        if (told != null && arrived.atMs() > told + terms.graceMs() + terms.wayMs()) {
             broken(Rule.DRAINS, arrived.atMs(), arrived.gatherer() + " sent to " + arrived.server() + " "
-                    + (arrived.atMs() - drains) + " ms after it was told of its drain");
+                    + (arrived.atMs() - told) + " ms after it was told of its drain");
         }
         List<Double> before = scan.arrived.computeIfAbsent(arrived.segment(), segment -> new ArrayList<>());
         if (!before.isEmpty()) {
@@ -231,7 +234,8 @@
         Set<String> told = new HashSet<>();
         for (Scan scan : scans.values()) {
             double due = scan.asked.atMs() + scan.asked.timeLeftMs() + terms.slackMs();
-            if (scan.answered == null && scan.leftMs > due && due <= endMs && !excused(scan, due)
+            boolean heldThen = dueMs(scan) > due;
+            if (scan.answered == null && scan.leftMs > due && due <= endMs && !heldThen && !killed(scan, due)
                     && told.add(scan.asked.scan())) {
                 broken(Rule.ONE_ANSWER, due, "scan " + scan.asked.scan() + " had no answer");
             }
--- a/standin/src/test/java/sprucehold/standin/rules/RuleCheckerTest.java
+++ b/standin/src/test/java/sprucehold/standin/rules/RuleCheckerTest.java
@@ -19,14 +19,18 @@
             "any", new TableType("any", TableType.Repeat.REPLAYABLE, 500, 1, 0, 0, 0.75, 0.5, 0),
             "once", new TableType("once", TableType.Repeat.NON_REPLAYABLE, 500, 1, 0, 0, 1, 1, 0),
             "keyed", new TableType("keyed", TableType.Repeat.KEYED, 500, 1, 0, 300, 1, 1, 0)),
-            new Deployment.DispatchBudget(2, 0.5, 1000), 100, 50, 20);
+            new Deployment.DispatchBudget(2, 0.5, 1000), 100, 50, 20, 30);
 
     private static Seen.Asked asked(String type, double at) {
         return new Seen.Asked(at, "g", "s", type, 1000, Map.of(1, 0.5, 2, 0.5));
     }
 
     private static Seen.Arrived arrived(double at, String server, int segment) {
-        return new Seen.Arrived(at, "g", server, "s", segment);
+        return new Seen.Arrived(at, "g", server, "s", segment, 500);
+    }
+
+    private static Seen.Arrived told(double at, double toldMs) {
+        return new Seen.Arrived(at, "g", "a", "s", 1, toldMs);
     }
 
     private static Seen.Ran ran(double at, String server, int segment) {
@@ -74,6 +78,17 @@
                     arrived(24, "a", 1)), List.of()},
             {"a part after the client left", run("any", new Seen.Left(3, "s"), arrived(30, "a", 1)),
                 List.of(Rule.ONE_ANSWER)},
+            {"a part after the client left, as its gatherer went on", run("any", new Seen.Left(3, "s"),
+                    new Seen.HeldUp(1, 29, "g", false), arrived(30, "a", 1)), List.of(Rule.ONE_ANSWER)},
+            {"told as much as is left", run("any", told(10, 1040), ended(20, Seen.Answer.ABANDONED)), List.of()},
+            {"told more than is left", run("any", told(10, 1041), ended(20, Seen.Answer.ABANDONED)), List.of(Rule.ONE_ANSWER)},
+            {"closed as it was paused", run("any", new Seen.HeldUp(3, 4, "g", false), ended(5, Seen.Answer.CLOSED)),
+                List.of(Rule.ONE_ANSWER)},
+            {"no answer though a pause was over in time", run("any", new Seen.HeldUp(3, 900, "g", false)),
+                List.of(Rule.ONE_ANSWER)},
+            {"sent to a draining server as it went on", run("any", told(1, Listing.Mode.DRAINING),
+                    new Seen.HeldUp(1, 79, "g", false), arrived(80, "a", 1), ended(90, Seen.Answer.ABANDONED)),
+                List.of(Rule.DRAINS)},
             {"an effect twice", run("once", arrived(1, "a", 1), ran(2, "a", 1), arrived(3, "b", 1), ran(4, "b", 1),
                     ended(9, Seen.Answer.ABANDONED)), List.of(Rule.NO_EFFECT_TWICE)},
             {"a further try of what never ran", run("once", arrived(1, "a", 1), arrived(3, "b", 1), ran(4, "b", 1),
@@ -120,14 +135,14 @@
 
     @Test(dataProvider = "fleets")
     public void furtherDispatchesAreAddedUpOverAllGatherers(double[] at, boolean breaks) {
-        var terms = new Terms(TERMS.types(), Deployment.DispatchBudget.NONE, new Terms.FleetBudget(2, 100), 100, 50, 20);
+        var terms = new Terms(TERMS.types(), Deployment.DispatchBudget.NONE, new Terms.FleetBudget(2, 100), 100, 50, 20, 30);
         var run = new ArrayList<Seen>();
         for (int i = 0; i < at.length; i++) {
             run.add(new Seen.Asked(i / 10.0, "g" + i, "s" + i, "any", 1000, Map.of(1, 1.0)));
-            run.add(new Seen.Arrived(1 + i / 10.0, "g" + i, "a", "s" + i, 1));
+            run.add(new Seen.Arrived(1 + i / 10.0, "g" + i, "a", "s" + i, 1, 500));
         }
         for (int i = 0; i < at.length; i++) {
-            run.add(new Seen.Arrived(at[i], "g" + i, "b", "s" + i, 1));
+            run.add(new Seen.Arrived(at[i], "g" + i, "b", "s" + i, 1, 500));
         }
         for (int i = 0; i < at.length; i++) {
             run.add(new Seen.Answered(500, "s" + i, Seen.Answer.THROTTLED, false, Map.of()));
