--- a/rig/src/test/java/sprucehold/rig/RunTest.java
+++ b/rig/src/test/java/sprucehold/rig/RunTest.java
@@ -121,6 +121,13 @@
         assertTrue(page.contains("<svg") && script.faults().stream().allMatch(fault -> page.contains(fault.name())), name);
     }
 
+    /** Gatherers stand still for 0.15 s and more, again and again, while clients leave after 40 ms: a hold-up excuses nothing. */
+    @Test
+    public void theShippedProgramKeepsTheRulesWhereItIsHeldUpAmongClientsThatLeave() throws IOException {
+        Verdict verdict = play(Scripts.shipped("held-up-among-leaving"), Home.find());
+        assertEquals(verdict.kind(), Verdict.Kind.PASSED, verdict.why().toString());
+    }
+
     @Test
     public void aProgramThatWontStartIsOneErrorWithItsLastWords() {
         String message = expectThrows(IOException.class, () -> play(small(false), crooked("WONT_START"))).getMessage();
