Write no attempt before its client's connection was read to its end, and other crossings

Cause: Node.runSoon and Node.run let the decisions take a turn of 5 ms right after a request was read, while the close behind it lay unread (a stream's end is read in the pass after its bytes); nothing between a decision and ShardLink.write looked at the client again, and retries and waiting parts were as blind. Change: ShardLink.write, the one place that writes attempts, asks AttemptGate last of all; ClientServer.waits reads the client's socket until the system has nothing more and reports a close at once (UnreadInput). Turns begin after a whole further pass (SocketPasses), timers included. Of the same kind: Node.take let the client's time stand still while a query waited for its decision (told too much); a request's age counts since the loop is known to have polled; an idle server connection whose end lies unread isn't written to; a connection is read before it is closed for resting; a failed accept no longer stops the listener for a second (Netty's ServerBootstrapAcceptor), and the wait counts.

--- a/gatherer/src/main/java/sprucehold/clients/ClientConnections.java
+++ b/gatherer/src/main/java/sprucehold/clients/ClientConnections.java
@@ -33,6 +33,9 @@
 
     /** What is done to a connection. */
     interface Closer<C> {
+        /** Reads what lies unread on it, so that what its client sent before now is told of. */
+        void readUnread(C connection);
+
         /** Ends it so that what was written still arrives; {@link #gone} follows. */
         void shut(C connection);
 
@@ -48,6 +51,8 @@
         boolean last;
         /** To be shut unless the next pass over the sockets brings something of it. */
         boolean doomed;
+        /** It has had no answer yet. */
+        boolean first = true;
 
         State(double since) {
             this.since = since;
@@ -136,6 +141,7 @@
         State state = all.get(connection);
         if (state != null && !state.last) {
             state.since = clock.getAsDouble();
+            state.first = false;
             fresh.remove(connection);
             begun.remove(connection);
             kept.add(connection);
@@ -165,6 +171,12 @@
         }
     }
 
+    /** Whether it has had no answer yet. */
+    boolean isFirst(C connection) {
+        State state = all.get(connection);
+        return state != null && state.first;
+    }
+
     /** Whether its next answer has to be its last. */
     boolean isUnheard(C connection) {
         State state = all.get(connection);
@@ -198,15 +210,23 @@
         return any;
     }
 
-    /** Shuts those that a sweep found and of which nothing came since. */
+    /** Shuts those that a sweep found and of which nothing has come up to this moment. */
     void settle() {
         for (C connection : List.copyOf(all.keySet())) {
-            if (all.get(connection).doomed) {
+            if (isDoomed(connection)) {
+                closer.readUnread(connection);
+            }
+            if (isDoomed(connection)) {
                 shut(connection);
             }
         }
     }
 
+    private boolean isDoomed(C connection) {
+        State state = all.get(connection);
+        return state != null && state.doomed;
+    }
+
     /** Ends it: neither answers that aren't read nor requests that wait behind hold up its end for long. */
     void shut(C connection) {
         if (forget(connection)) {
--- a/gatherer/src/main/java/sprucehold/clients/ClientServer.java
+++ b/gatherer/src/main/java/sprucehold/clients/ClientServer.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.vertx.core.Future;
@@ -25,6 +26,8 @@
 import java.util.logging.Logger;
 import sprucehold.picker.Answer;
 import sprucehold.picker.Scan;
+import sprucehold.sockets.AcceptingTransport;
+import sprucehold.sockets.UnreadInput;
 
 /** The HTTP server that clients reach. */
 public final class ClientServer {
@@ -34,6 +37,9 @@
     /** How often connections are looked after; with it, who says nothing is closed well inside 3 s. */
     private static final int SWEEP_MS = 250;
 
+    /** How much is read at once: a request of the usual size several times over. */
+    private static final int READ_BYTES = 4096;
+
     private final HttpServer server;
     private final ScanHandler handler;
     private final ScanReader reader;
@@ -49,6 +55,7 @@
     private boolean settling;
     private final long lingerMs;
     private long floods;
+    private long leftUnread;
 
     /** {@code most} is how many connections clients may hold. */
     public ClientServer(Vertx vertx, int segments, int most, ScanHandler handler, DoubleSupplier clock) {
@@ -78,6 +85,11 @@
     }
 
     private static final class ChannelCloser implements ClientConnections.Closer<HttpConnection> {
+        @Override
+        public void readUnread(HttpConnection connection) {
+            UnreadInput.readAll(channel(connection));
+        }
+
         @Override
         public void shut(HttpConnection connection) {
             // Not by way of the HTTP server: what isn't read and who waits behind must not hold up the close.
@@ -97,6 +109,8 @@
     }
 
     private void opened(HttpConnection connection, HttpServerOptions options) {
+        // A size of its own: one that adapts would shrink with each look at a socket that has nothing.
+        channel(connection).config().setRecvByteBufAllocator(new FixedRecvByteBufAllocator(READ_BYTES));
         connection.exceptionHandler(failure -> LOG.log(Level.FINE, "client connection", failure));
         connection.closeHandler(none -> connections.gone(connection));
         var closing = new LingeringClose(lingerMs, () -> passes.reading(channel(connection).eventLoop()),
@@ -156,7 +170,7 @@
             last(request, 413, TOO_LONG);
             return;
         }
-        double cameAt = handler.unreadSince(passes.beganAt());
+        double cameAt = handler.unreadSince(passes.beganAt()) - waitedForAccept(request.connection());
         var body = Buffer.buffer();
         request.handler(bytes -> {
             if (body.length() + bytes.length() > LONGEST_BODY) {
@@ -180,6 +194,11 @@
         });
     }
 
+    /** How long its connection waited for failed accepts; a later request on it did not. */
+    private double waitedForAccept(HttpConnection connection) {
+        return connections.isFirst(connection) ? AcceptingTransport.waitedMs(channel(connection)) : 0;
+    }
+
     /** A request that fails is answered as such, and ends its connection: its client must not wait for nobody. */
     private void guarded(HttpServerRequest request, Runnable step) {
         try {
@@ -230,14 +249,38 @@
             return;
         }
         open.put(scan, request);
-        request.response().closeHandler(none -> {
-            if (open.remove(scan) != null) {
-                handler.left(scan);
-            }
-        });
+        request.response().closeHandler(none -> left(scan));
         handler.take(scan);
     }
 
+    private void left(Scan scan) {
+        if (open.remove(scan) != null) {
+            handler.left(scan);
+        }
+    }
+
+    /**
+     * Whether the client of a scan that has no answer still waits, by all that has reached its connection up to this moment: what lies
+     * unread there is read first. One that has closed is reported as left right now, before its connection's end is told by the loop.
+     */
+    public boolean waits(Scan scan) {
+        HttpServerRequest request = open.get(scan);
+        if (request == null) {
+            return false;
+        }
+        if (UnreadInput.readAll(channel(request.connection()))) {
+            return true;
+        }
+        leftUnread++;
+        left(scan);
+        return false;
+    }
+
+    /** How many clients were found to have left right before an attempt for them would have begun. */
+    public long leftUnread() {
+        return leftUnread;
+    }
+
     /** Sends the final answer of a scan; one whose client has left gets none. */
     public void answer(Scan scan, Answer answer) {
         HttpServerRequest request = open.remove(scan);
--- a/gatherer/src/main/java/sprucehold/node/Node.java
+++ b/gatherer/src/main/java/sprucehold/node/Node.java
@@ -36,6 +36,7 @@
 import sprucehold.port.Gatherer;
 import sprucehold.port.Others;
 import sprucehold.port.TableType;
+import sprucehold.shards.AttemptGate;
 import sprucehold.shards.ShardServers;
 
 /**
@@ -44,12 +45,6 @@
  */
 final class Node implements ScanHandler {
     private static final Logger LOG = Logger.getLogger(Node.class.getName());
-    /**
-     * A pass over the sockets that begins so soon after a turn comes straight from it, with other work of the loop at the most
-     * between. Where the loop did rest, so much and a usual turn are taken from the client's time for nothing.
-     */
-    private static final double STRAIGHT_MS = 5;
-
     private final Vertx vertx;
     private final Seat seat;
     private final Clock clock = new Clock();
@@ -78,9 +73,6 @@
     private long timer = -1;
     private double timerAt = Double.POSITIVE_INFINITY;
     private boolean tickDue;
-    /** The last turn of the decisions, in which no socket was read. */
-    private double turnBeganAt = Double.NEGATIVE_INFINITY;
-    private double turnEndedAt = Double.NEGATIVE_INFINITY;
     private double nextTickAt = Double.POSITIVE_INFINITY;
     private long scansTaken;
 
@@ -115,7 +107,7 @@
         this.picker = new Picker(behind.start(seat.seed(), deployment), deployment);
         this.shards = new ShardServers(vertx, seat.facts().connections(), deployment.layout().callParts(),
                 seat.facts().loadByProbe(), clock::now, this::report,
-                attempt -> ScanLog.begun(attempt, clock.now()));
+                gate());
         this.watch = new Watch(vertx, seat.discovery().host(), seat.discovery().port(), deployment.layout().cells(),
                 deployment.listAccess().mustAsk(), deployment.listAccess().askWithinMs(), clock::now, this::report);
         this.clients = new ClientServer(vertx, seat.facts().segments(), seat.sockets() / 2, this, clock::now);
@@ -175,7 +167,7 @@
 
     @Override
     public double unreadSince(double nowMs) {
-        return nowMs - turnEndedAt < STRAIGHT_MS ? Math.min(nowMs, turnBeganAt) : nowMs;
+        return passes.unreadSince(nowMs);
     }
 
     @Override
@@ -192,15 +184,18 @@
         if (admin != null) {
             admin.taken(scan);
         }
+        double takenAt = clock.now();
         soon(() -> {
-            // Whoever left meanwhile gets no work done.
-            return coming.remove(scan.id()) ? picker.pick(clock.now(), scan, most)
-                    : picker.report(clock.now(), List.of());
+            double now = clock.now();
+            // Whoever left meanwhile gets no work done, and what has passed meanwhile is no longer left to the client.
+            return coming.remove(scan.id()) ? picker.pick(now, scan, Math.min(most, scan.timeLeftMs()) - (now - takenAt))
+                    : picker.report(now, List.of());
         });
     }
 
     @Override
     public void left(Scan scan) {
+        ScanLog.left(scan);
         if (admin != null) {
             admin.left(scan);
         }
@@ -228,10 +223,21 @@
         return picker.report(clock.now(), batch);
     }
 
-    /**
-     * Calls the picker once this pass over the sockets is through. What one socket brings mustn't be decided upon
-     * while answers that came with it lie unread on others and would look late.
-     */
+    private AttemptGate gate() {
+        return new AttemptGate() {
+            @Override
+            public boolean clientWaits(Scan query) {
+                return clients.waits(query);
+            }
+
+            @Override
+            public void begun(Dispatch attempt) {
+                ScanLog.begun(attempt, clock.now());
+            }
+        };
+    }
+
+    /** Calls the picker in the next turn. */
     private void soon(Supplier<Orders> call) {
         calls.add(call);
         if (!carrying) {
@@ -239,20 +245,24 @@
         }
     }
 
+    /**
+     * Has the decisions take a turn once this pass over the sockets is through, and a whole further one. What one socket brings
+     * mustn't be decided upon while what came with it lies unread on others, or behind it: answers would look late, and the end of a
+     * stream is only read in the pass after the bytes before it.
+     */
     private void runSoon() {
         if (!due) {
             due = true;
-            context.runOnContext(none -> {
+            context.runOnContext(none -> passes.afterNextPass(() -> {
                 due = false;
                 run();
-            });
+            }));
         }
     }
 
     private void run() {
         carrying = true;
         nextTickAt = timerAt;
-        turnBeganAt = clock.now();
         try {
             turn();
         } catch (RuntimeException e) {
@@ -262,10 +272,9 @@
             carrying = false;
         }
         if (!calls.isEmpty() || !reports.isEmpty()) {
-            runAfterReading();
+            runSoon();
         }
         arm(nextTickAt);
-        turnEndedAt = clock.now();
     }
 
     /** What happened is told before anything new is begun, so that nothing is sent on for a client that has left. */
@@ -295,17 +304,6 @@
         carryOut(orders);
     }
 
-    /** Goes on once the sockets were read: what the event loop is handed as a timer waits for that, a plain task doesn't. */
-    private void runAfterReading() {
-        if (!due) {
-            due = true;
-            schedule(0, () -> {
-                due = false;
-                run();
-            });
-        }
-    }
-
     /** A task's timer, even one of no delay, fires after the sockets were read once more. */
     private void schedule(long delayMs, Runnable work) {
         ((ContextInternal) context).nettyEventLoop().schedule(() -> context.runOnContext(none -> work.run()), delayMs,
@@ -391,7 +389,7 @@
             timer = vertx.setTimer(Math.max(1, (long) Math.ceil(at - clock.now())), fired -> {
                 timerAt = Double.POSITIVE_INFINITY;
                 tickDue = true;
-                run();
+                runSoon();
             });
         }
     }
@@ -433,7 +431,8 @@
                 .compose(done -> Future.join(neighbours.stream().map(Neighbour::end).toList()).otherwiseEmpty()).map(closed -> {
             watch.stop();
             passes.stop();
-            LOG.info("end: " + scansTaken + " scans taken, " + picker.openScans() + " left open, " + passes.summary());
+            LOG.info("end: " + scansTaken + " scans taken, " + picker.openScans() + " left open, " + passes.summary() + ", "
+                    + clients.leftUnread() + " clients found gone right before an attempt");
             return null;
         });
         return ended;
--- a/gatherer/src/main/java/sprucehold/node/ScanLog.java
+++ b/gatherer/src/main/java/sprucehold/node/ScanLog.java
@@ -48,8 +48,13 @@
             log("a dispatch has ended", fields(dispatch.scan(), "segment", dispatch.segment(),
                     "server", dispatch.server().name(), "outcome", words(ended.outcome()),
                     "took_ms", rounded(dispatch.outMs(nowMs))));
-        } else if (report instanceof Report.ClientLeft left) {
-            log("a client has left", fields(left.scan()));
+        }
+    }
+
+    /** A client's close was read, by the loop's pass or right before an attempt. */
+    static void left(Scan scan) {
+        if (LOG.isLoggable(Level.INFO)) {
+            log("a client has left", fields(scan));
         }
     }
 
--- a/gatherer/src/main/java/sprucehold/node/Service.java
+++ b/gatherer/src/main/java/sprucehold/node/Service.java
@@ -15,6 +15,7 @@
 import java.util.logging.Logger;
 import sprucehold.door.DoorPlan;
 import sprucehold.port.Gatherer;
+import sprucehold.sockets.AcceptingTransport;
 import sprucehold.standin.StandIns;
 
 /** The process around a node: its event loop, and its end on a signal. */
@@ -59,8 +60,8 @@
 
     /** One event loop for everything, and no more threads than must be. */
     static Vertx vertx() {
-        return Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
-                .setInternalBlockingPoolSize(1));
+        var options = new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1).setInternalBlockingPoolSize(1);
+        return Vertx.builder().with(options).withTransport(new AcceptingTransport()).build();
     }
 
     /** Serves stand-ins for all that the seat names, on its addresses. */
--- a/gatherer/src/main/java/sprucehold/node/SocketPasses.java
+++ b/gatherer/src/main/java/sprucehold/node/SocketPasses.java
@@ -53,7 +53,12 @@
                 return;
             }
             polledAfter = Math.max(polledAfter, from);
-            heldUp(clock.getAsDouble() - from - HEARTBEAT_MS);
+            double lateMs = clock.getAsDouble() - from - HEARTBEAT_MS;
+            heldUp(lateMs);
+            if (lateMs > ON_TIME_MS - HEARTBEAT_MS) {
+                // Known anew at once: whoever asks right after a hold-up has not waited for all of it.
+                afterNextPass(() -> { });
+            }
             beat();
         });
     }
@@ -71,6 +76,18 @@
         }
     }
 
+    /**
+     * Has work done after a whole pass over the sockets that begins from now on, so that it knows all that lay unread until then. To be
+     * called in the part of a pass after its sockets were read.
+     */
+    void afterNextPass(Runnable work) {
+        double from = clock.getAsDouble();
+        timers.schedule(0, () -> {
+            polledAfter = Math.max(polledAfter, from);
+            work.run();
+        });
+    }
+
     /** Since when something that is read at a moment may have lain unread: that moment itself where the loop is on time. */
     double unreadSince(double nowMs) {
         return nowMs - polledAfter <= ON_TIME_MS ? nowMs : polledAfter;
--- a/gatherer/src/main/java/sprucehold/shards/ShardLink.java
+++ b/gatherer/src/main/java/sprucehold/shards/ShardLink.java
@@ -1,6 +1,8 @@
 package sprucehold.shards;
 
 import io.vertx.core.Future;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.internal.net.NetSocketInternal;
 import io.vertx.core.net.NetSocket;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -15,6 +17,8 @@
 import sprucehold.picker.Dispatch;
 import sprucehold.picker.Outcome;
 import sprucehold.picker.Progress;
+import sprucehold.picker.Scan;
+import sprucehold.sockets.UnreadInput;
 
 /** One connection to a shard server, from the dial to its end, and all parts that are out on it. */
 final class ShardLink {
@@ -24,6 +28,8 @@
     interface Owner {
         double now();
 
+        boolean clientWaits(Scan query);
+
         void begun(Dispatch dispatch);
 
         void ended(Dispatch dispatch, Outcome outcome);
@@ -133,27 +139,32 @@
         }
     }
 
+    /**
+     * Whether the server has kept it open, by all that has come up to now: what is written to one whose end lies unread would count as
+     * reset, and may not be tried again where the effect might happen twice. One that isn't up yet may still come up.
+     */
+    boolean isOpenStill() {
+        return socket == null || UnreadInput.readAll(((NetSocketInternal) socket).channelHandlerContext().channel()) && !over;
+    }
+
+    /** The one place at which attempts are written; the parts of a call are of one query. */
     private void write(List<Dispatch> waited) {
-        // While the call waited for the connection the list may have said that it drains, or its time have run out.
         double now = owner.now();
-        var call = new ArrayList<Dispatch>();
-        for (Dispatch dispatch : waited) {
-            if (!dispatch.mayBeWritten(now)) {
-                owner.ended(dispatch, new Outcome.Cancelled(Progress.NOT_WRITTEN));
-            } else if (dispatch.server().running()) {
-                call.add(dispatch);
-            } else {
-                owner.ended(dispatch, new Outcome.Lost(Progress.NOT_WRITTEN));
-            }
-        }
+        List<Dispatch> call = writable(waited, now);
         if (call.isEmpty()) {
             return;
         }
+        Buffer frame = GathererFrame.call(call, now);
+        // Last, so that a hold-up in all that comes before it changes nothing.
+        if (!owner.clientWaits(call.get(0).scan())) {
+            call.forEach(dispatch -> owner.ended(dispatch, new Outcome.Cancelled(Progress.NOT_WRITTEN)));
+            return;
+        }
+        Future<Void> write = socket.write(frame);
         List<Flight> out = call.stream().map(dispatch -> new Flight(dispatch, now)).toList();
         out.forEach(flight -> flights.put(flight.dispatch.partId(), flight));
-        call.forEach(owner::begun);
-        Future<Void> write = socket.write(GathererFrame.call(call, now));
         out.forEach(flight -> flight.write = write);
+        call.forEach(owner::begun);
         write.onFailure(failure -> out.forEach(flight -> {
             if (flights.remove(flight.dispatch.partId(), flight)) {
                 owner.ended(flight.dispatch, new Outcome.Lost(Progress.PARTLY_WRITTEN));
@@ -161,6 +172,21 @@
         }));
     }
 
+    /** Those that may still be written: while the call waited the list may have said that its server drains, or its time have run out. */
+    private List<Dispatch> writable(List<Dispatch> waited, double now) {
+        var call = new ArrayList<Dispatch>();
+        for (Dispatch dispatch : waited) {
+            if (!dispatch.mayBeWritten(now)) {
+                owner.ended(dispatch, new Outcome.Cancelled(Progress.NOT_WRITTEN));
+            } else if (dispatch.server().running()) {
+                call.add(dispatch);
+            } else {
+                owner.ended(dispatch, new Outcome.Lost(Progress.NOT_WRITTEN));
+            }
+        }
+        return call;
+    }
+
     /** A frame whose last byte was never handed over has not run; that may be known only after the close. */
     private void lost(Flight flight) {
         if (spoilt) {
--- a/gatherer/src/main/java/sprucehold/shards/ShardServers.java
+++ b/gatherer/src/main/java/sprucehold/shards/ShardServers.java
@@ -19,6 +19,7 @@
 import sprucehold.picker.Outcome;
 import sprucehold.picker.Progress;
 import sprucehold.picker.Report;
+import sprucehold.picker.Scan;
 import sprucehold.picker.ShardServer;
 
 /** The connections to all shard servers: one each, a further one only when that can take no more. */
@@ -31,7 +32,7 @@
     private final boolean loadByProbe;
     private final DoubleSupplier clock;
     private final Consumer<Report> reports;
-    private final AttemptListener attempts;
+    private final AttemptGate gate;
     private final Map<ShardServer, Peer> peers = new HashMap<>();
 
     private final class Peer implements ShardLink.Owner {
@@ -48,9 +49,14 @@
             return clock.getAsDouble();
         }
 
+        @Override
+        public boolean clientWaits(Scan query) {
+            return gate.clientWaits(query);
+        }
+
         @Override
         public void begun(Dispatch dispatch) {
-            attempts.begun(dispatch);
+            gate.begun(dispatch);
         }
 
         @Override
@@ -82,8 +88,8 @@
 
         /** A link that can take the call: an open one or a new one. */
         ShardLink link(List<Dispatch> call) {
-            for (ShardLink link : links) {
-                if (link.address().equals(server.address()) && link.fits(call)) {
+            for (ShardLink link : List.copyOf(links)) {
+                if (link.address().equals(server.address()) && link.fits(call) && link.isOpenStill()) {
                     return link;
                 }
             }
@@ -95,8 +101,8 @@
     }
 
     public ShardServers(Vertx vertx, Connections limits, int callParts, boolean loadByProbe, DoubleSupplier clock,
-            Consumer<Report> reports, AttemptListener attempts) {
-        this.attempts = attempts;
+            Consumer<Report> reports, AttemptGate gate) {
+        this.gate = gate;
         this.limits = limits;
         this.callParts = callParts;
         this.loadByProbe = loadByProbe;
--- a/gatherer/src/test/java/sprucehold/clients/ClientConnectionsTest.java
+++ b/gatherer/src/test/java/sprucehold/clients/ClientConnectionsTest.java
@@ -1,6 +1,7 @@
 package sprucehold.clients;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import java.util.ArrayList;
@@ -20,8 +21,18 @@
     @BeforeMethod
     public void open() {
         now = 0;
+        unread = null;
         done.clear();
         connections = new ClientConnections<>(4, () -> now, new ClientConnections.Closer<>() {
+            @Override
+            public void readUnread(String connection) {
+                if (connection.equals(unread)) {
+                    unread = null;
+                    connections.begun(connection);
+                    connections.busy(connection);
+                }
+            }
+
             @Override
             public void shut(String connection) {
                 done.add("shut " + connection);
@@ -34,6 +45,9 @@
         });
     }
 
+    /** The connection on which a whole request lies unread. */
+    private String unread;
+
     private void step(String step) {
         String[] words = step.split(" ");
         String c = words.length > 1 ? words[1] : "";
@@ -48,6 +62,7 @@
             case "shutting" -> connections.shutting(c);
             case "gone" -> connections.gone(c);
             case "trim" -> connections.trim();
+            case "unread" -> unread = c;
             case "sweep" -> connections.sweep();
             case "rests" -> connections.sweepKept();
             case "settle" -> connections.settle();
@@ -67,6 +82,8 @@
             {"open a, head a, whole a, answered a, 19999, sweep, settle", ""},
             {"open a, head a, whole a, answered a, 20000, sweep, settle", "shut a"},
             {"open a, head a, whole a, answered a, 20000, sweep, head a, settle", ""},
+            {"open a, head a, whole a, answered a, 20000, sweep, unread a, settle", ""},
+            {"open a, 2500, sweep, unread a, settle", ""},
             {"open a, open b, open c, head a, whole a, answered a, 2000, sweep, settle", "shut a"},
             {"open a, head a, whole a, answered a, rests, settle", "shut a"},
             {"open a, head a, whole a, answered a, rests, head a, settle", ""},
@@ -127,6 +144,16 @@
         assertEquals(connections.arriving(), arriving);
     }
 
+    @Test
+    public void aConnectionIsTheFirstOfItsRequestsUntilItsAnswer() {
+        for (String step : List.of("open a", "head a", "whole a")) {
+            step(step);
+            assertTrue(connections.isFirst("a"));
+        }
+        step("answered a");
+        assertFalse(connections.isFirst("a"));
+    }
+
     /** Whatever happens in whatever order: none is shut twice, none is cut that wasn't shut, and none is forgotten. */
     @Test
     public void anyOrderOfEventsEndsEachConnectionOnce() {
--- a/gatherer/src/test/java/sprucehold/clients/ClientServerTest.java
+++ b/gatherer/src/test/java/sprucehold/clients/ClientServerTest.java
@@ -16,7 +16,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -557,4 +560,35 @@
         }
         assertFalse(left.stream().anyMatch(scan -> scan.id().equals("i")));
     }
+
+    @Test
+    public void aCloseThatLiesUnreadIsReadWhenItIsAskedWhetherTheClientWaits() throws Exception {
+        Socket stays = connect(post("/q", "stays", BODY));
+        Socket leaves = connect(post("/q", "leaves", BODY));
+        var scans = new HashMap<String, Scan>();
+        for (int i = 0; i < 2; i++) {
+            Scan scan = taken.poll(5, TimeUnit.SECONDS);
+            scans.put(scan.id(), scan);
+        }
+        var waits = new HashMap<String, Boolean>();
+        var asked = new CountDownLatch(1);
+        Runnable free = loop.hold(() -> {
+            scans.values().forEach(scan -> waits.put(scan.id(), server.waits(scan)));
+            asked.countDown();
+        });
+        // Bytes before the end: it is not the first thing that is read.
+        leaves.getOutputStream().write("POST /q HTTP/1.1\r\n".getBytes(StandardCharsets.UTF_8));
+        leaves.close();
+        free.run();
+        assertTrue(asked.await(5, TimeUnit.SECONDS));
+        assertEquals(waits, Map.of("stays", true, "leaves", false));
+        assertEquals(left.poll(5, TimeUnit.SECONDS).id(), "leaves");
+        assertEquals((long) loop.call(() -> server.leftUnread()), 1L);
+        loop.act(() -> server.answer(scans.get("stays"), new Answer.Throttled(0)));
+        assertTrue(response(stays).startsWith("HTTP/1.1 503"));
+        // Its end, which the loop tells of later, is told once.
+        loop.until(() -> server.connections() <= 1);
+        assertTrue(left.isEmpty());
+        stays.close();
+    }
 }
--- a/gatherer/src/test/java/sprucehold/node/NodeTest.java
+++ b/gatherer/src/test/java/sprucehold/node/NodeTest.java
@@ -585,6 +585,8 @@
         };
         try (var a = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
                 var b = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            a.setSoTimeout(10_000);
+            b.setSoTimeout(10_000);
             String entry = "{\"name\":\"%s\",\"address\":\"127.0.0.1:%d\",\"group\":0,\"status\":\"active\"}";
             node(factory, PLACE, SETTINGS, "\"known\":{\"index\":7,\"snapshot\":true,\"endpoints\":["
                     + entry.formatted("a", a.getLocalPort()) + "," + entry.formatted("b", b.getLocalPort()) + "]}");
@@ -601,6 +603,46 @@
         }
     }
 
+    /** What a query waits for its decision is no longer left to its client, and no shard server may be told that it is. */
+    @Test
+    public void timeInTheQueueOfDecisionsIsTakenFromTheClientsTime() throws Exception {
+        var left = new LinkedBlockingQueue<Double>();
+        Gatherer.Factory factory = (seed, facts) -> (now, events) -> {
+            var actions = new ArrayList<Action>();
+            for (Event event : events) {
+                if (event instanceof Event.ScanTaken scan) {
+                    left.add(scan.timeLeftMs());
+                    actions.add(new Action.Throttle(scan.id(), 0));
+                    // The first decision takes this long, and the second query waits for it.
+                    long end = System.nanoTime() + 60_000_000;
+                    while (System.nanoTime() < end) {
+                        Thread.onSpinWait();
+                    }
+                }
+            }
+            return actions;
+        };
+        node(factory, PLACE, SETTINGS, KNOWN);
+        String body = "{\"buckets\":[{\"bucket\":0,\"part\":1}],\"body\":\"\"}";
+        try (var one = new Socket("127.0.0.1", port); var other = new Socket("127.0.0.1", port)) {
+            // Both connections are up, so that what comes on them in the hold is read in one pass.
+            for (Socket socket : List.of(one, other)) {
+                socket.setSoTimeout(10_000);
+                socket.getOutputStream().write("GET /up HTTP/1.1\r\nHost: h\r\n\r\n".getBytes());
+                assertEquals(socket.getInputStream().read(), 'H');
+            }
+            Runnable free = loop.hold(() -> { });
+            for (Socket socket : List.of(one, other)) {
+                socket.getOutputStream().write(("POST /q HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + socket.getLocalPort()
+                        + "\r\nX-Class: q\r\nX-Deadline-Ms: 9000\r\nContent-Length: " + body.length() + "\r\n\r\n" + body).getBytes());
+            }
+            free.run();
+            double first = left.poll(10, TimeUnit.SECONDS);
+            double second = left.poll(10, TimeUnit.SECONDS);
+            assertTrue(second <= first - 55, first + " and then " + second);
+        }
+    }
+
     @Test
     public void hangUpIsTakenOverEachTime() throws Exception {
         String ignored = Files.readAllLines(Path.of("/proc/self/status")).stream()
