--- a/gatherer/src/main/java/sprucehold/node/SocketPasses.java
+++ b/gatherer/src/main/java/sprucehold/node/SocketPasses.java
@@ -77,8 +77,8 @@
     }
 
     /**
-     * Has work done after a whole pass over the sockets that begins from now on, so that it knows all that lay unread until then. To be
-     * called in the part of a pass after its sockets were read.
+     * Has work done after a whole pass over the sockets that begins from now on, so that it knows all that lay unread until then. To
+     * be called in the part of a pass after its sockets were read.
      */
     void afterNextPass(Runnable work) {
         double from = clock.getAsDouble();
