--- a/gatherer/src/main/java/sprucehold/node/Node.java
+++ b/gatherer/src/main/java/sprucehold/node/Node.java
@@ -70,8 +70,7 @@
     private Future<Void> ended;
     /** Clients may come from now on; before, nothing is owed to anybody. */
     private boolean listens;
-    private long timer = -1;
-    private double timerAt = Double.POSITIVE_INFINITY;
+    private final DecisionTimer timer;
     private boolean tickDue;
     private double nextTickAt = Double.POSITIVE_INFINITY;
     private long scansTaken;
@@ -99,6 +98,10 @@
         this.vertx = vertx;
         this.context = vertx.getOrCreateContext();
         this.passes = new SocketPasses(clock::now, this::schedule);
+        this.timer = new DecisionTimer(vertx, clock::now, () -> {
+            tickDue = true;
+            runSoon();
+        });
         this.seat = seat;
         var deployment = seat.facts().deployment();
         this.tableTypes = deployment.tableTypes().stream().map(TableType::name).collect(Collectors.toSet());
@@ -262,7 +265,7 @@
 
     private void run() {
         carrying = true;
-        nextTickAt = timerAt;
+        nextTickAt = timer.at();
         try {
             turn();
         } catch (RuntimeException e) {
@@ -274,7 +277,7 @@
         if (!calls.isEmpty() || !reports.isEmpty()) {
             runSoon();
         }
-        arm(nextTickAt);
+        timer.arm(nextTickAt);
     }
 
     /** What happened is told before anything new is begun, so that nothing is sent on for a client that has left. */
@@ -379,21 +382,6 @@
         return views;
     }
 
-    private void arm(double at) {
-        if (at == timerAt) {
-            return;
-        }
-        vertx.cancelTimer(timer);
-        timerAt = at;
-        if (at < Double.POSITIVE_INFINITY) {
-            timer = vertx.setTimer(Math.max(1, (long) Math.ceil(at - clock.now())), fired -> {
-                timerAt = Double.POSITIVE_INFINITY;
-                tickDue = true;
-                runSoon();
-            });
-        }
-    }
-
     private void applied(Deployment facts) {
         soon(() -> picker.change(clock.now(), facts));
     }
