--- a/gatherer/src/main/java/sprucehold/command/Main.java
+++ b/gatherer/src/main/java/sprucehold/command/Main.java
@@ -15,7 +15,7 @@
 import sprucehold.node.JsonLines;
 import sprucehold.node.Neighbour;
 import sprucehold.node.Rehearsal;
-import sprucehold.node.Seat;
+import sprucehold.node.NodeConfig;
 import sprucehold.node.Service;
 import sprucehold.node.ServiceLogManager;
 
@@ -98,13 +98,13 @@
                 description = "wins over the file's")
         String discovery;
 
-        Seat seat() throws IOException {
-            return Seat.read(config, name, listen, discovery);
+        NodeConfig config() throws IOException {
+            return NodeConfig.read(config, name, listen, discovery);
         }
 
         /** What the file says by now; where discovery is, it alone can tell. */
-        Seat reread() throws IOException {
-            return Seat.read(config, name, listen, null);
+        NodeConfig reread() throws IOException {
+            return NodeConfig.read(config, name, listen, null);
         }
     }
 
@@ -163,14 +163,14 @@
             if (logScans) {
                 JsonLines.logScans();
             }
-            Seat seat = place.seat();
+            NodeConfig config = place.config();
             DoorPlan plan = door == null ? null : DoorPlan.read(door);
             List<Neighbour.Factory> beside = together == null ? List.of() : List.of(Talking.read(together));
             if (recording == null) {
-                Service.start(seat, Brain::new, Brain::new, plan, beside, place::reread, () -> { });
+                Service.start(config, Brain::new, Brain::new, plan, beside, place::reread, () -> { });
             } else {
-                Recording recorded = Recording.read(recording, seat.name());
-                Service.start(seat, Brain::new, recorded.of(Brain::new), plan, beside, place::reread, recorded::end);
+                Recording recorded = Recording.read(recording, config.name());
+                Service.start(config, Brain::new, recorded.of(Brain::new), plan, beside, place::reread, recorded::end);
             }
             return CommandLine.ExitCode.OK;
         }
@@ -184,7 +184,7 @@
 
         @Override
         public Integer call() throws IOException {
-            System.out.println(place.seat().summary());
+            System.out.println(place.config().summary());
             return CommandLine.ExitCode.OK;
         }
     }
@@ -197,7 +197,7 @@
 
         @Override
         public Integer call() throws IOException, Service.StartFailedException {
-            return Rehearsal.run(place.seat(), Brain::new, System.out::println) ? CommandLine.ExitCode.OK
+            return Rehearsal.run(place.config(), Brain::new, System.out::println) ? CommandLine.ExitCode.OK
                     : CommandLine.ExitCode.SOFTWARE;
         }
     }
@@ -210,7 +210,7 @@
 
         @Override
         public Integer call() throws IOException, Service.StartFailedException {
-            Service.standIn(place.seat());
+            Service.standIn(place.config());
             return CommandLine.ExitCode.OK;
         }
     }
--- a/gatherer/src/main/java/sprucehold/command/Talking.java
+++ b/gatherer/src/main/java/sprucehold/command/Talking.java
@@ -13,9 +13,9 @@
 
     static Neighbour.Factory read(Path file) throws IOException {
         CompanyPlan plan = CompanyPlan.read(file);
-        return (vertx, seat, clock) -> {
+        return (vertx, config, clock) -> {
             try {
-                return new Company(vertx, seat, clock, plan);
+                return new Company(vertx, config, clock, plan);
             } catch (IllegalArgumentException e) {
                 throw new IllegalArgumentException(file + ": " + e.getMessage(), e);
             }
--- a/gatherer/src/main/java/sprucehold/company/Company.java
+++ b/gatherer/src/main/java/sprucehold/company/Company.java
@@ -14,7 +14,7 @@
 import java.util.logging.Logger;
 import sprucehold.node.Clock;
 import sprucehold.node.Neighbour;
-import sprucehold.node.Seat;
+import sprucehold.node.NodeConfig;
 import sprucehold.picker.Dispatch;
 import sprucehold.picker.Outcome;
 import sprucehold.picker.Report;
@@ -63,10 +63,10 @@
     private boolean cutOff;
 
     /** @throws IllegalArgumentException in one line if the plan doesn't name this gatherer */
-    public Company(Vertx vertx, Seat seat, Clock clock, CompanyPlan plan) {
+    public Company(Vertx vertx, NodeConfig config, Clock clock, CompanyPlan plan) {
         this.vertx = vertx;
         this.clock = clock;
-        this.self = seat.name();
+        this.self = config.name();
         CompanyPlan.Member own = plan.members().get(self);
         if (own == null) {
             throw new IllegalArgumentException("members: none is called " + self + ", as this gatherer is");
@@ -82,9 +82,9 @@
         double counted = clock.countedMs();
         double wall = clock.wallMs();
         this.talk = new Talk(new TalkTerms(Map.of(), plan.lettersPerS(), COUNT_HALF_MS), self, own.site(), (long) wall, sites,
-                seat.seed(), counted, wall);
-        this.rooms = new Rooms(seat.facts().deployment(), new RoomTerms(self, List.copyOf(plan.members().keySet()), plan.shared(),
-                plan.further(), plan.furtherWindowMs(), Math.min(PATIENCE_MS, seat.facts().connections().dialTimeoutMs()),
+                config.seed(), counted, wall);
+        this.rooms = new Rooms(config.facts().deployment(), new RoomTerms(self, List.copyOf(plan.members().keySet()), plan.shared(),
+                plan.further(), plan.furtherWindowMs(), Math.min(PATIENCE_MS, config.facts().connections().dialTimeoutMs()),
                 plan.driftPpm() / 1e6, plan.clocksOffMs()), talk, counted, wall);
         this.post = new Post(vertx, new PostTerms(self, own.listen().host(), own.listen().port(), addresses, plan.bytesPerS()),
                 clock::countedMs, this::read);
--- a/gatherer/src/main/java/sprucehold/node/ConfigurationAdmin.java
+++ b/gatherer/src/main/java/sprucehold/node/ConfigurationAdmin.java
@@ -46,13 +46,13 @@
      * @param journal where versions are written down; null where no folder lasts
      * @param apply puts facts in force between two moments of the decisions
      */
-    ConfigurationAdmin(Vertx vertx, Seat seat, DoorPlan plan, JournalFile journal, Clock clock, Changes.Apply apply) {
+    ConfigurationAdmin(Vertx vertx, NodeConfig config, DoorPlan plan, JournalFile journal, Clock clock, Changes.Apply apply) {
         this.vertx = vertx;
         this.context = vertx.getOrCreateContext();
         this.plan = plan;
         this.journal = journal;
         this.clock = clock;
-        this.changes = new Changes(document(seat), seat.facts().deployment(),
+        this.changes = new Changes(document(config), config.facts().deployment(),
                 journal == null ? Changes.Journal.NONE : this::write, plan.watchMs(), plan.leastScans(), apply);
     }
 
@@ -70,11 +70,11 @@
     }
 
     /** The facts that the start brought. */
-    private static Document document(Seat seat) {
-        var deployment = seat.facts().deployment();
+    private static Document document(NodeConfig config) {
+        var deployment = config.facts().deployment();
         var types = new ArrayList<Document.Type>();
         for (int i = 0; i < deployment.tableTypes().size(); i++) {
-            types.add(new Document.Type(deployment.tableTypes().get(i), seat.facts().timeoutsMs().get(i)));
+            types.add(new Document.Type(deployment.tableTypes().get(i), config.facts().timeoutsMs().get(i)));
         }
         return new Document(types, deployment.customers(), deployment.limits(), deployment.dispatchBudget(),
                 deployment.coldRule(), new TreeSet<>(), "", "", "INFO");
--- a/gatherer/src/main/java/sprucehold/node/DryWarmUp.java
+++ b/gatherer/src/main/java/sprucehold/node/DryWarmUp.java
@@ -25,12 +25,12 @@
     }
 
     /** Returns how many scans were answered. */
-    static int run(Seat seat, Gatherer.Factory factory) {
-        Deployment deployment = seat.facts().deployment();
-        var picker = new Picker(factory.start(seat.seed(), deployment), deployment);
-        var clients = new DryClient(seat.facts().segments());
+    static int run(NodeConfig config, Gatherer.Factory factory) {
+        Deployment deployment = config.facts().deployment();
+        var picker = new Picker(factory.start(config.seed(), deployment), deployment);
+        var clients = new DryClient(config.facts().segments());
         var servers = new DryServers();
-        var scans = new WarmUpScans(seat);
+        var scans = new WarmUpScans(config);
         var list = new ArrayList<ServerNews>();
         for (int cell = 0; cell < deployment.layout().cells(); cell++) {
             for (String holder : List.of("a", "b")) {
--- a/gatherer/src/main/java/sprucehold/node/Neighbour.java
+++ b/gatherer/src/main/java/sprucehold/node/Neighbour.java
@@ -17,8 +17,8 @@
 public interface Neighbour {
     /** Makes one for a node that is about to start. */
     interface Factory {
-        /** @throws IllegalArgumentException in one line if it doesn't fit the seat */
-        Neighbour beside(Vertx vertx, Seat seat, Clock clock);
+        /** @throws IllegalArgumentException in one line if it doesn't fit the configuration */
+        Neighbour beside(Vertx vertx, NodeConfig config, Clock clock);
     }
 
     /** By which it is asked for at the door. */
--- a/gatherer/src/main/java/sprucehold/node/Node.java
+++ b/gatherer/src/main/java/sprucehold/node/Node.java
@@ -46,7 +46,7 @@
 final class Node implements ScanHandler {
     private static final Logger LOG = Logger.getLogger(Node.class.getName());
     private final Vertx vertx;
-    private final Seat seat;
+    private final NodeConfig config;
     private final Clock clock = new Clock();
     private final Picker picker;
     private final ShardServers shards;
@@ -85,15 +85,15 @@
      * @param plan the door through which it is changed, or null
      * @param beside makes what stands beside it
      */
-    Node(Vertx vertx, Seat seat, Gatherer.Factory factory, DoorPlan plan, List<Neighbour.Factory> beside) throws IOException {
-        this(vertx, seat, factory, plan == null ? null : ConfigurationAdmin.journalOf(plan), plan, beside);
+    Node(Vertx vertx, NodeConfig config, Gatherer.Factory factory, DoorPlan plan, List<Neighbour.Factory> beside) throws IOException {
+        this(vertx, config, factory, plan == null ? null : ConfigurationAdmin.journalOf(plan), plan, beside);
     }
 
-    Node(Vertx vertx, Seat seat, Gatherer.Factory factory) {
-        this(vertx, seat, factory, null, null, List.of());
+    Node(Vertx vertx, NodeConfig config, Gatherer.Factory factory) {
+        this(vertx, config, factory, null, null, List.of());
     }
 
-    private Node(Vertx vertx, Seat seat, Gatherer.Factory factory, JournalFile journal, DoorPlan plan,
+    private Node(Vertx vertx, NodeConfig config, Gatherer.Factory factory, JournalFile journal, DoorPlan plan,
             List<Neighbour.Factory> beside) {
         this.vertx = vertx;
         this.context = vertx.getOrCreateContext();
@@ -102,19 +102,19 @@
             tickDue = true;
             runSoon();
         });
-        this.seat = seat;
-        var deployment = seat.facts().deployment();
+        this.config = config;
+        var deployment = config.facts().deployment();
         this.tableTypes = deployment.tableTypes().stream().map(TableType::name).collect(Collectors.toSet());
-        this.admin = plan == null ? null : new ConfigurationAdmin(vertx, seat, plan, journal, clock, this::applied);
+        this.admin = plan == null ? null : new ConfigurationAdmin(vertx, config, plan, journal, clock, this::applied);
         Gatherer.Factory behind = admin == null ? factory : admin.behindWords(factory);
-        this.picker = new Picker(behind.start(seat.seed(), deployment), deployment);
-        this.shards = new ShardServers(vertx, seat.facts().connections(), deployment.layout().callParts(),
-                seat.facts().loadByProbe(), clock::now, this::report,
+        this.picker = new Picker(behind.start(config.seed(), deployment), deployment);
+        this.shards = new ShardServers(vertx, config.facts().connections(), deployment.layout().callParts(),
+                config.facts().loadByProbe(), clock::now, this::report,
                 gate());
-        this.watch = new Watch(vertx, seat.discovery().host(), seat.discovery().port(), deployment.layout().cells(),
+        this.watch = new Watch(vertx, config.discovery().host(), config.discovery().port(), deployment.layout().cells(),
                 deployment.listAccess().mustAsk(), deployment.listAccess().askWithinMs(), clock::now, this::report);
-        this.clients = new ClientServer(vertx, seat.facts().segments(), seat.sockets() / 2, this, clock::now);
-        this.neighbours = beside.stream().map(one -> one.beside(vertx, seat, clock)).toList();
+        this.clients = new ClientServer(vertx, config.facts().segments(), config.sockets() / 2, this, clock::now);
+        this.neighbours = beside.stream().map(one -> one.beside(vertx, config, clock)).toList();
     }
 
     /**
@@ -122,15 +122,15 @@
      * out of date, and what discovery's agent has counts as told from a process's first moment.
      */
     Future<Integer> start() {
-        LOG.info(seat.summary());
+        LOG.info(config.summary());
         return firstList().compose(checked -> stillWanted()).compose(wanted -> openAdmin())
                 .compose(opened -> Future.all(neighbours.stream().map(Neighbour::start).toList()))
                 .compose(begun -> stillWanted())
                 .compose(wanted -> {
                     listens = true;
-                    return clients.listen(seat.listen().socket());
+                    return clients.listen(config.listen().socket());
                 }).map(server -> {
-            LOG.info("listening at " + seat.listen());
+            LOG.info("listening at " + config.listen());
             return server.actualPort();
         });
     }
@@ -141,13 +141,13 @@
 
     /** Where discovery is silent, the list that is known from before is better than none. */
     private Future<Void> firstList() {
-        boolean alone = seat.discovery().equals(Seat.Address.NONE);
+        boolean alone = config.discovery().equals(NodeConfig.Address.NONE);
         if (alone) {
             watch.stop();
         }
         return (alone ? Future.<Void>succeededFuture() : watch.start()).map(asked -> {
-            if (!hasList && seat.known() != null) {
-                report(new Report.ListCame(true, seat.known().servers()));
+            if (!hasList && config.known() != null) {
+                report(new Report.ListCame(true, config.known().servers()));
             }
             return null;
         });
@@ -399,8 +399,8 @@
         return admin == null ? Future.succeededFuture() : admin.close();
     }
 
-    /** Follows the list at the address that the seat names now; nothing else of it is taken while serving. */
-    void reseat(Seat now) {
+    /** Follows the list at the address that the configuration names now; nothing else of it is taken while serving. */
+    void reconfigure(NodeConfig now) {
         watch.move(now.discovery().host(), now.discovery().port());
     }
 
--- a/gatherer/src/main/java/sprucehold/node/Seat.java
+++ b/gatherer/src/main/java/sprucehold/node/NodeConfig.java
@@ -17,7 +17,7 @@
  * @param sockets how many descriptors the process may hold
  * @param known the list as it was last held
  */
-public record Seat(String name, Address listen, Address discovery, long seed, int sockets,
+public record NodeConfig(String name, Address listen, Address discovery, long seed, int sockets,
         ListNews known, Facts facts) {
 
     /** Where to listen or call. */
@@ -47,7 +47,7 @@
     }
 
     /** Reads the file; what the environment names wins over it. Null or empty values are not given. */
-    public static Seat read(Path file, String name, String listen, String discovery) throws IOException {
+    public static NodeConfig read(Path file, String name, String listen, String discovery) throws IOException {
         JsonNode node;
         try {
             node = new ObjectMapper().readTree(Files.readAllBytes(file));
@@ -74,7 +74,7 @@
         } catch (ListNews.MalformedException e) {
             throw new MalformedFactsException("known: " + e.getMessage());
         }
-        return new Seat(either(name, node.path("name")),
+        return new NodeConfig(either(name, node.path("name")),
                 Address.parse(either(listen, node.path("listen")), "listen"),
                 Address.parse(either(discovery, node.path("discovery")), "discovery"), seed,
                 node.path("limits").path("sockets").asInt(Integer.MAX_VALUE), known, facts);
--- a/gatherer/src/main/java/sprucehold/node/Rehearsal.java
+++ b/gatherer/src/main/java/sprucehold/node/Rehearsal.java
@@ -22,25 +22,25 @@
     }
 
     /** Returns whether each scan was answered whole; {@code line} takes what happened. */
-    public static boolean run(Seat seat, Gatherer.Factory factory, Consumer<String> line)
+    public static boolean run(NodeConfig config, Gatherer.Factory factory, Consumer<String> line)
             throws Service.StartFailedException {
-        if (seat.known() == null) {
+        if (config.known() == null) {
             throw new Service.StartFailedException("no known list to stand in for");
         }
-        WarmUp.run(seat, factory);
+        WarmUp.run(config, factory);
         // Both ways of warming up, whichever the platform will grant: the archive of loaded classes is made of this run.
-        DryWarmUp.run(seat, factory);
+        DryWarmUp.run(config, factory);
         Vertx vertx = Service.vertx();
         var done = new CompletableFuture<Boolean>();
-        vertx.runOnContext(none -> StandIns.start(vertx, HOST, 0, seat.known().servers(), true)
+        vertx.runOnContext(none -> StandIns.start(vertx, HOST, 0, config.known().servers(), true)
                 .compose(discovery -> {
                     // Begun without a list, so that the whole one is asked for.
-                    var moved = new Seat(seat.name(), new Seat.Address(HOST, 0),
-                            new Seat.Address(HOST, discovery), seat.seed(), seat.sockets(), null,
-                            seat.facts());
+                    var moved = new NodeConfig(config.name(), new NodeConfig.Address(HOST, 0),
+                            new NodeConfig.Address(HOST, discovery), config.seed(), config.sockets(), null,
+                            config.facts());
                     var node = new Node(vertx, moved, factory);
                     return node.start().compose(port -> whenReady(vertx, node)
-                            .compose(ready -> ask(vertx, seat, port, line)))
+                            .compose(ready -> ask(vertx, config, port, line)))
                             .compose(whole -> node.end(DrainSchedule.NOW).map(whole));
                 })
                 .onComplete(done::complete, done::completeExceptionally));
@@ -59,11 +59,11 @@
         return node.ready() ? Future.succeededFuture() : vertx.timer(10).compose(waited -> whenReady(vertx, node));
     }
 
-    private static Future<Boolean> ask(Vertx vertx, Seat seat, int port, Consumer<String> line) {
+    private static Future<Boolean> ask(Vertx vertx, NodeConfig config, int port, Consumer<String> line) {
         HttpClient client = vertx.createHttpClient();
         Future<Boolean> whole = Future.succeededFuture(true);
         int number = 0;
-        for (TableType type : seat.facts().deployment().tableTypes()) {
+        for (TableType type : config.facts().deployment().tableTypes()) {
             String id = "rehearsal-" + number++;
             whole = whole.compose(before -> client.request(HttpMethod.POST, port, HOST, "/" + type.name())
                     .compose(request -> request.putHeader("X-Request-Id", id).putHeader("X-Class", type.name())
--- a/gatherer/src/main/java/sprucehold/node/Service.java
+++ b/gatherer/src/main/java/sprucehold/node/Service.java
@@ -34,20 +34,20 @@
      * @param reread reads the configuration anew when SIGHUP asks for it
      * @param ended is called once all is answered, on the thread that ends the process
      */
-    public static void start(Seat seat, Gatherer.Factory rehearsed, Gatherer.Factory factory, DoorPlan door,
-            List<Neighbour.Factory> beside, Callable<Seat> reread, Runnable ended) throws StartFailedException {
-        WarmUp.run(seat, rehearsed);
+    public static void start(NodeConfig config, Gatherer.Factory rehearsed, Gatherer.Factory factory, DoorPlan door,
+            List<Neighbour.Factory> beside, Callable<NodeConfig> reread, Runnable ended) throws StartFailedException {
+        WarmUp.run(config, rehearsed);
         Vertx vertx = vertx();
         var started = new CompletableFuture<Node>();
         var made = new AtomicReference<Node>();
         // Before it listens: what it takes from its first moment on is owed an answer.
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            end(vertx, made, seat);
+            end(vertx, made, config);
             ended.run();
         }, "end"));
         vertx.runOnContext(none -> {
             try {
-                var node = new Node(vertx, seat, factory, door, beside);
+                var node = new Node(vertx, config, factory, door, beside);
                 made.set(node);
                 node.start().onComplete(done -> started.complete(node), started::completeExceptionally);
             } catch (IOException | RuntimeException e) {
@@ -55,7 +55,7 @@
             }
         });
         Node node = await(started);
-        Signals.onHangUp(() -> reseat(vertx, node, reread));
+        Signals.onHangUp(() -> reconfigure(vertx, node, reread));
     }
 
     /** One event loop for everything, and no more threads than must be. */
@@ -64,17 +64,17 @@
         return Vertx.builder().with(options).withTransport(new AcceptingTransport()).build();
     }
 
-    /** Serves stand-ins for all that the seat names, on its addresses. */
-    public static void standIn(Seat seat) throws StartFailedException {
-        if (seat.known() == null) {
+    /** Serves stand-ins for all that the configuration names, on its addresses. */
+    public static void standIn(NodeConfig config) throws StartFailedException {
+        if (config.known() == null) {
             throw new StartFailedException("no known list to stand in for");
         }
         Vertx vertx = vertx();
         var started = new CompletableFuture<Integer>();
-        vertx.runOnContext(none -> StandIns.start(vertx, seat.discovery().host(), seat.discovery().port(),
-                seat.known().servers(), false).onComplete(started::complete, started::completeExceptionally));
+        vertx.runOnContext(none -> StandIns.start(vertx, config.discovery().host(), config.discovery().port(),
+                config.known().servers(), false).onComplete(started::complete, started::completeExceptionally));
         await(started);
-        LOG.info("standing in for discovery at " + seat.discovery() + " and " + seat.known().servers().size()
+        LOG.info("standing in for discovery at " + config.discovery() + " and " + config.known().servers().size()
                 + " shard servers");
     }
 
@@ -89,27 +89,27 @@
     }
 
     /** Runs on the signal's own thread; one at a time, so that what was read last counts. */
-    private static synchronized void reseat(Vertx vertx, Node node, Callable<Seat> reread) {
+    private static synchronized void reconfigure(Vertx vertx, Node node, Callable<NodeConfig> reread) {
         LOG.info("SIGHUP: the configuration is read again");
         try {
-            Seat now = reread.call();
-            vertx.runOnContext(none -> node.reseat(now));
+            NodeConfig now = reread.call();
+            vertx.runOnContext(none -> node.reconfigure(now));
         } catch (Exception e) {
             LOG.log(Level.WARNING, "the configuration can't be used and the one held is kept: " + e.getMessage());
         }
     }
 
     /** Runs on the hook's own thread, and only waits there for what the event loop does. */
-    private static void end(Vertx vertx, AtomicReference<Node> made, Seat seat) {
+    private static void end(Vertx vertx, AtomicReference<Node> made, NodeConfig config) {
         var ended = new CompletableFuture<Void>();
         vertx.runOnContext(none -> {
             Node node = made.get();
-            (node == null ? Future.<Void>succeededFuture() : node.end(DrainSchedule.within(seat.facts().longestTimeoutMs())))
+            (node == null ? Future.<Void>succeededFuture() : node.end(DrainSchedule.within(config.facts().longestTimeoutMs())))
                     .onComplete(ended::complete, ended::completeExceptionally);
         });
         try {
             // Beyond the time at which it may be killed, for what was taken with more time left.
-            ended.get((long) seat.facts().longestTimeoutMs() + 5000, TimeUnit.MILLISECONDS);
+            ended.get((long) config.facts().longestTimeoutMs() + 5000, TimeUnit.MILLISECONDS);
         } catch (ExecutionException | TimeoutException e) {
             LOG.log(Level.WARNING, "ended before all was answered", e);
         } catch (InterruptedException e) {
--- a/gatherer/src/main/java/sprucehold/node/WarmUp.java
+++ b/gatherer/src/main/java/sprucehold/node/WarmUp.java
@@ -42,24 +42,24 @@
     private static final int SCANS_A_CONNECTION = 3;
 
     private final Vertx vertx = Service.vertx();
-    private final Seat seat;
+    private final NodeConfig config;
     private final WarmUpScans scans;
 
-    private WarmUp(Seat seat) {
-        this.seat = seat;
-        this.scans = new WarmUpScans(seat);
+    private WarmUp(NodeConfig config) {
+        this.config = config;
+        this.scans = new WarmUpScans(config);
     }
 
     /** Returns when it is done; whatever goes wrong, only the time is lost. */
-    static void run(Seat seat, Gatherer.Factory factory) {
+    static void run(NodeConfig config, Gatherer.Factory factory) {
         // What is tried here is no news to operators.
         Logger all = Logger.getLogger("sprucehold");
         all.setLevel(Level.OFF);
         long begun = System.nanoTime();
         int scans = 0;
         try {
-            scans = withinTheProcess() ? overSockets(seat, factory) : 0;
-            scans = scans > 0 ? scans : DryWarmUp.run(seat, factory);
+            scans = withinTheProcess() ? overSockets(config, factory) : 0;
+            scans = scans > 0 ? scans : DryWarmUp.run(config, factory);
         } catch (RuntimeException e) {
             // Served cold then.
         } finally {
@@ -77,9 +77,9 @@
         }
     }
 
-    private static int overSockets(Seat seat, Gatherer.Factory factory) {
+    private static int overSockets(NodeConfig config, Gatherer.Factory factory) {
         Path directory = null;
-        var warmUp = new WarmUp(seat);
+        var warmUp = new WarmUp(config);
         try {
             directory = Files.createTempDirectory("warm-up");
             warmUp.start(directory, factory).toCompletionStage().toCompletableFuture()
@@ -111,14 +111,14 @@
     private Future<Void> start(Path directory, Gatherer.Factory factory) {
         String shards = directory.resolve("shards").toString();
         var servers = new ArrayList<ServerNews>();
-        for (int cell = 0; cell < seat.facts().deployment().layout().cells(); cell++) {
+        for (int cell = 0; cell < config.facts().deployment().layout().cells(); cell++) {
             for (String holder : List.of("a", "b")) {
                 servers.add(new ServerNews(holder + cell, shards, cell, "", 0, ServerNews.State.RUNNING));
             }
         }
-        var clients = new Seat.Address(directory.resolve("clients").toString(), 0);
-        var warm = new Seat(seat.name(), clients, Seat.Address.NONE, seat.seed(), seat.sockets(),
-                new ListNews(0, true, servers), seat.facts());
+        var clients = new NodeConfig.Address(directory.resolve("clients").toString(), 0);
+        var warm = new NodeConfig(config.name(), clients, NodeConfig.Address.NONE, config.seed(), config.sockets(),
+                new ListNews(0, true, servers), config.facts());
         Promise<Void> done = Promise.promise();
         vertx.runOnContext(none -> StandIns.shardServer(vertx, shards)
                 .compose(listening -> new Node(vertx, warm, factory).start())
--- a/gatherer/src/main/java/sprucehold/node/WarmUpScans.java
+++ b/gatherer/src/main/java/sprucehold/node/WarmUpScans.java
@@ -5,19 +5,19 @@
 
 /** The scans that a warm-up asks, over whatever way it has. */
 final class WarmUpScans {
-    private final Seat seat;
+    private final NodeConfig config;
     private int asked;
 
-    WarmUpScans(Seat seat) {
-        this.seat = seat;
+    WarmUpScans(NodeConfig config) {
+        this.config = config;
     }
 
     /** The next request, as a client sends it, for so many parts at most; table types take turns. */
     String next(int mostParts) {
         asked++;
-        List<TableType> types = seat.facts().deployment().tableTypes();
+        List<TableType> types = config.facts().deployment().tableTypes();
         String type = types.get(asked % types.size()).name();
-        int segments = seat.facts().segments();
+        int segments = config.facts().segments();
         int parts = Math.min(mostParts, segments);
         var buckets = new StringBuilder();
         for (int i = 0; i < parts; i++) {
--- a/gatherer/src/test/java/sprucehold/node/ChangesTest.java
+++ b/gatherer/src/test/java/sprucehold/node/ChangesTest.java
@@ -37,7 +37,7 @@
     private static final java.net.http.HttpClient CALLS = java.net.http.HttpClient.newBuilder()
             .version(java.net.http.HttpClient.Version.HTTP_1_1).build();
     private static final ObjectMapper MAPPER = new ObjectMapper();
-    private static final String SEAT = """
+    private static final String CONFIG = """
             {"name":"n","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"5","known":{"index":1,"snapshot":true,
             "endpoints":[{"name":"s-0","address":"127.0.0.1:1","group":0,"status":"active"},
             {"name":"s-1","address":"127.0.0.1:2","group":0,"status":"active"}]},
@@ -65,12 +65,12 @@
     }
 
     private Node serve() throws Exception {
-        Seat seat = Seat.read(Files.writeString(folder.resolve("seat.json"), SEAT), null, null, null);
+        NodeConfig config = NodeConfig.read(Files.writeString(folder.resolve("config.json"), CONFIG), null, null, null);
         var started = new CompletableFuture<Node>();
-        vertx.runOnContext(none -> StandIns.start(vertx, "127.0.0.1", 0, seat.known().servers(), true)
+        vertx.runOnContext(none -> StandIns.start(vertx, "127.0.0.1", 0, config.known().servers(), true)
                 .compose(discovery -> {
-                    var moved = new Seat("n", seat.listen(), new Seat.Address("127.0.0.1", discovery), 5,
-                            seat.sockets(), null, seat.facts());
+                    var moved = new NodeConfig("n", config.listen(), new NodeConfig.Address("127.0.0.1", discovery), 5,
+                            config.sockets(), null, config.facts());
                     try {
                         var serving = new Node(vertx, moved, Brain::new, new DoorPlan("127.0.0.1", 0, TOKEN,
                                 folder.resolve("journal"), 1500, 50), List.of());
--- a/gatherer/src/test/java/sprucehold/node/NodeTest.java
+++ b/gatherer/src/test/java/sprucehold/node/NodeTest.java
@@ -73,7 +73,7 @@
 
     @BeforeMethod
     public void open() throws IOException {
-        file = Files.createTempFile("seat", ".json");
+        file = Files.createTempFile("config", ".json");
         vertx = Vertx.vertx();
     }
 
@@ -83,9 +83,9 @@
         vertx.close().toCompletionStage().toCompletableFuture().get(5, TimeUnit.SECONDS);
     }
 
-    private Seat seat(String... members) throws IOException {
+    private NodeConfig config(String... members) throws IOException {
         Files.writeString(file, "{" + String.join(",", members) + "}");
-        return Seat.read(file, null, "", null);
+        return NodeConfig.read(file, null, "", null);
     }
 
     @DataProvider
@@ -103,19 +103,19 @@
 
     @Test(dataProvider = "malformed")
     public void fileThatCantBeUsedIsRefused(String[] members) {
-        assertThrows(MalformedFactsException.class, () -> seat(members));
+        assertThrows(MalformedFactsException.class, () -> config(members));
     }
 
     @Test
     public void environmentWinsOverTheFile() throws IOException {
-        Seat seat = seat(PLACE, SETTINGS, KNOWN);
-        assertEquals(seat.seed(), -1L);
-        assertEquals(seat.known().index(), 7);
-        assertEquals(seat.facts().segments(), 4);
-        assertEquals(seat.facts().longestTimeoutMs(), 300.0);
-        assertEquals(Seat.read(file, "m", "127.0.0.2:5", null).listen(), new Seat.Address("127.0.0.2", 5));
-        assertEquals(Seat.read(file, "m", null, null).name(), "m");
-        assertEquals(Seat.read(file, null, null, "127.0.0.3:9").discovery(), new Seat.Address("127.0.0.3", 9));
+        NodeConfig config = config(PLACE, SETTINGS, KNOWN);
+        assertEquals(config.seed(), -1L);
+        assertEquals(config.known().index(), 7);
+        assertEquals(config.facts().segments(), 4);
+        assertEquals(config.facts().longestTimeoutMs(), 300.0);
+        assertEquals(NodeConfig.read(file, "m", "127.0.0.2:5", null).listen(), new NodeConfig.Address("127.0.0.2", 5));
+        assertEquals(NodeConfig.read(file, "m", null, null).name(), "m");
+        assertEquals(NodeConfig.read(file, null, null, "127.0.0.3:9").discovery(), new NodeConfig.Address("127.0.0.3", 9));
     }
 
     private <T> T await(Future<T> future) throws Exception {
@@ -126,17 +126,17 @@
     private TestLoop loop;
 
     private Node node(Gatherer.Factory factory, String... members) throws Exception {
-        return await(begin(seat(members), factory, List.of()).start);
+        return await(begin(config(members), factory, List.of()).start);
     }
 
     private record Begun(Node node, Future<Node> start) {
     }
 
     /** Makes a node, and returns it with what is over once it listens. */
-    private Begun begin(Seat seat, Gatherer.Factory factory, List<Neighbour.Factory> beside) throws Exception {
+    private Begun begin(NodeConfig config, Gatherer.Factory factory, List<Neighbour.Factory> beside) throws Exception {
         loop = new TestLoop(vertx);
         return loop.call(() -> {
-            var node = new Node(vertx, seat, factory, null, beside);
+            var node = new Node(vertx, config, factory, null, beside);
             return new Begun(node, node.start().map(listening -> {
                 port = listening;
                 return node;
@@ -144,11 +144,11 @@
         });
     }
 
-    /** The seat of one that knows a list, and asks a discovery that hands its calls over. */
-    private Seat asking(BlockingQueue<HttpServerRequest> calls, Seat.Address listen) throws Exception {
+    /** The configuration of one that knows a list, and asks a discovery that hands its calls over. */
+    private NodeConfig asking(BlockingQueue<HttpServerRequest> calls, NodeConfig.Address listen) throws Exception {
         int discovery = await(vertx.createHttpServer().requestHandler(calls::add).listen(0, "127.0.0.1")).actualPort();
-        Seat told = seat(PLACE, SETTINGS, KNOWN);
-        return new Seat("n", listen, new Seat.Address("127.0.0.1", discovery), 5, told.sockets(), told.known(), told.facts());
+        NodeConfig told = config(PLACE, SETTINGS, KNOWN);
+        return new NodeConfig("n", listen, new NodeConfig.Address("127.0.0.1", discovery), 5, told.sockets(), told.known(), told.facts());
     }
 
     private void end(Node node, DrainSchedule how) throws Exception {
@@ -170,7 +170,7 @@
             }
             return actions;
         };
-        assertTrue(Rehearsal.run(seat(PLACE, SETTINGS, KNOWN), factory, lines::add));
+        assertTrue(Rehearsal.run(config(PLACE, SETTINGS, KNOWN), factory, lines::add));
         assertEquals(lines, List.of("q: 200 {\"finished\":true,\"found\":[{\"bucket\":0,\"item\":\"0:c41e77d0\"}]}"));
     }
 
@@ -187,7 +187,7 @@
         try (var socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
             free = socket.getLocalPort();
         }
-        Begun begun = begin(asking(calls, new Seat.Address("127.0.0.1", free)), factory, List.of());
+        Begun begun = begin(asking(calls, new NodeConfig.Address("127.0.0.1", free)), factory, List.of());
         HttpServerRequest call = calls.poll(10, TimeUnit.SECONDS);
         assertEquals(call.uri(), "/discovery/hosts");
         assertThrows(ConnectException.class, () -> new Socket("127.0.0.1", free).close());
@@ -203,7 +203,7 @@
     @Test
     public void gathererThatIsToldToEndBeforeItListensNeverListens() throws Exception {
         var calls = new LinkedBlockingQueue<HttpServerRequest>();
-        Begun begun = begin(asking(calls, new Seat.Address("127.0.0.1", 0)), (seed, facts) -> (now, events) -> List.of(), List.of());
+        Begun begun = begin(asking(calls, new NodeConfig.Address("127.0.0.1", 0)), (seed, facts) -> (now, events) -> List.of(), List.of());
         HttpServerRequest call = calls.poll(10, TimeUnit.SECONDS);
         // Nothing is owed to anybody, so it doesn't serve on.
         end(begun.node, new DrainSchedule(60_000, 60_000, 90_000));
@@ -396,9 +396,9 @@
         };
         int discovery = await(vertx.createHttpServer().requestHandler(calls::add).listen(0, "127.0.0.1")).actualPort();
         int server = await(StandIns.shardServerAt(vertx, "127.0.0.1"));
-        Seat told = seat(PLACE, SETTINGS, KNOWN.replace("8100", String.valueOf(server)));
+        NodeConfig told = config(PLACE, SETTINGS, KNOWN.replace("8100", String.valueOf(server)));
         // Discovery is silent: the list is the one from before.
-        Node node = await(begin(new Seat("n", told.listen(), new Seat.Address("127.0.0.1", discovery), 5, 40, told.known(),
+        Node node = await(begin(new NodeConfig("n", told.listen(), new NodeConfig.Address("127.0.0.1", discovery), 5, 40, told.known(),
                 told.facts()), factory, List.of()).start);
         var idle = new ArrayList<Socket>();
         for (int i = 0; i < 200; i++) {
@@ -457,10 +457,10 @@
             }
             return actions;
         };
-        Seat seat = seat(PLACE, SETTINGS, KNOWN);
-        int discovery = await(StandIns.start(vertx, "127.0.0.1", 0, seat.known().servers(), true));
-        Node node = await(begin(new Seat("n", seat.listen(), new Seat.Address("127.0.0.1", discovery), 5, seat.sockets(), null,
-                seat.facts()), factory, List.of((on, at, clock) -> lender)).start);
+        NodeConfig config = config(PLACE, SETTINGS, KNOWN);
+        int discovery = await(StandIns.start(vertx, "127.0.0.1", 0, config.known().servers(), true));
+        Node node = await(begin(new NodeConfig("n", config.listen(), new NodeConfig.Address("127.0.0.1", discovery), 5, config.sockets(), null,
+                config.facts()), factory, List.of((on, at, clock) -> lender)).start);
         loop.until(node::ready);
         HttpClient client = vertx.createHttpClient();
         await(client.request(HttpMethod.POST, port, "127.0.0.1", "/q").compose(request -> request.putHeader("X-Request-Id", "s")
@@ -480,7 +480,7 @@
             boolean second = events.stream().anyMatch(event -> event instanceof Event.PartTaken part && part.id().equals("t.0"));
             return second ? List.of(new Action.Dispatch("t.0", "a", 5000), new Action.Throttle("s", 0)) : List.of();
         };
-        Node node = await(begin(seat(PLACE, SETTINGS, KNOWN), factory, List.of((on, at, clock) -> lender)).start);
+        Node node = await(begin(config(PLACE, SETTINGS, KNOWN), factory, List.of((on, at, clock) -> lender)).start);
         Socket owed = ask(port, "s");
         loop.until(() -> lender.heard.contains("taken s"));
         Socket other = ask(port, "t");
@@ -507,7 +507,7 @@
             return actions;
         };
         Set<String> before = files();
-        WarmUp.run(seat(PLACE, SETTINGS), factory);
+        WarmUp.run(config(PLACE, SETTINGS), factory);
         assertTrue(answered.get() > 100, String.valueOf(answered));
         Set<String> left = files();
         left.removeAll(before);
@@ -529,7 +529,7 @@
             }
             return actions;
         };
-        int answered = DryWarmUp.run(seat(PLACE, SETTINGS), factory);
+        int answered = DryWarmUp.run(config(PLACE, SETTINGS), factory);
         assertEquals(answered, 3);
         assertTrue(parts.get() >= 3 * 4, String.valueOf(parts));
     }
--- a/rig/src/main/java/sprucehold/rig/process/SeatFile.java
+++ b/rig/src/main/java/sprucehold/rig/process/NodeConfigFile.java
@@ -8,12 +8,12 @@
 import sprucehold.rig.script.Script;
 
 /** What a gatherer is told, in the platform's words. */
-public final class SeatFile {
+public final class NodeConfigFile {
     /** As the platform's machines close connections that stand idle. */
     private static final double IDLE_CLOSE_MS = 15_000;
     private static final double DIAL_MS = 250;
 
-    private SeatFile() {
+    private NodeConfigFile() {
     }
 
     /**
--- a/rig/src/main/java/sprucehold/rig/run/Run.java
+++ b/rig/src/main/java/sprucehold/rig/run/Run.java
@@ -40,7 +40,7 @@
 import sprucehold.rig.process.GathererProcess;
 import sprucehold.rig.process.Guardian;
 import sprucehold.rig.process.Home;
-import sprucehold.rig.process.SeatFile;
+import sprucehold.rig.process.NodeConfigFile;
 import sprucehold.rig.script.Fault;
 import sprucehold.rig.script.Script;
 import sprucehold.rig.server.ServerHost;
@@ -267,7 +267,7 @@
     private Future<Void> start(GathererProcess process, String file, String at, int number, Plan.Clocks clocks) {
         Plan.Gatherer gatherer = plan.gatherers().get(number);
         try {
-            Files.writeString(folder.file(file + ".json"), SeatFile.json(script, gatherer, at + ":" + addresses.gathererPort(),
+            Files.writeString(folder.file(file + ".json"), NodeConfigFile.json(script, gatherer, at + ":" + addresses.gathererPort(),
                     addresses.discovery(number) + ":" + addresses.discoveryPort(), agents.get(gatherer.name()).known()));
             if (script.together() != null) {
                 Files.writeString(folder.file(file + ".together.json"), CompanyFile.json(script, plan, addresses, number, at));
