--- a/rig/src/test/java/sprucehold/rig/CrookedGatherer.java
+++ b/rig/src/test/java/sprucehold/rig/CrookedGatherer.java
@@ -61,12 +61,11 @@
             }));
         }
         if (args[0].equals("FLOODS_ITS_LOG")) {
+            // Before it says that it is ready, so that all of it but what the pipe holds has been read by then, however slowly.
             var line = "x".repeat(1 << 20);
-            new Thread(() -> {
-                for (int i = 0; i < 80; i++) {
-                    System.out.println(line);
-                }
-            }).start();
+            for (int i = 0; i < 80; i++) {
+                System.out.println(line);
+            }
         }
         if (args[0].equals("PANICS")) {
             System.err.println("2026-12-01T10:00:00.000 INFO the level of this line isn't SEVERE");
