--- a/gatherer/src/test/java/sprucehold/command/ClosedWhileHeldUpTest.java
+++ b/gatherer/src/test/java/sprucehold/command/ClosedWhileHeldUpTest.java
@@ -13,6 +13,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -20,8 +21,8 @@
 import org.testng.annotations.Test;
 
 /**
- * A gatherer in a process of its own that is stopped while its clients close: none of its attempts may begin afterwards, over
- * 0.1 s after the close, whatever it is that begins them.
+ * A gatherer in a process of its own that is stopped while its clients ask and close. Afterwards none of its attempts may begin over
+ * 0.1 s after its client's close, whatever it is that begins it, and none may tell its shard server more time than its client has left.
  */
 public class ClosedWhileHeldUpTest {
     private static final int CLIENTS = 40;
@@ -30,6 +31,14 @@
     /** The stop goes on so long after the last close: longer than the 0.1 s in which an attempt may still begin. */
     private static final long HELD_UP_MS = 150;
 
+    /** More than one pass over the listener accepts. */
+    private static final int NEWCOMERS = 100;
+    private static final double DEADLINE_MS = 2500;
+    /** So long newcomers wait in the backlog. */
+    private static final long WAITED_MS = 1000;
+    /** What an attempt may tell beyond what its client has left, in milliseconds. */
+    private static final double TOLD_SLACK_MS = 150;
+
     private RecordingShardServer first;
     private RecordingShardServer second;
     private Path config;
@@ -90,7 +99,7 @@
     private static void send(Socket socket, String id) throws IOException {
         String body = "{\"buckets\":[{\"bucket\":0,\"part\":1}],\"body\":\"c4\"}";
         socket.getOutputStream().write(("POST /q HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + id + "\r\nX-Class: q\r\n"
-                + "X-Deadline-Ms: 2500\r\nContent-Length: " + body.length() + "\r\n\r\n" + body).getBytes(StandardCharsets.UTF_8));
+                + "X-Deadline-Ms: " + (int) DEADLINE_MS + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body).getBytes(StandardCharsets.UTF_8));
     }
 
     private String ask(String id) throws IOException {
@@ -174,4 +183,35 @@
         goOn();
         assertEquals(attempts("wait"), before);
     }
+
+    @Test
+    public void timeInTheBacklogIsTakenFromTheClientsTime() throws Exception {
+        signal("STOP");
+        var sockets = new ArrayList<Socket>();
+        var sentNanos = new HashMap<String, Long>();
+        for (int i = 0; i < NEWCOMERS; i++) {
+            Socket socket = connect();
+            sockets.add(socket);
+            sentNanos.put("new" + i, System.nanoTime());
+            send(socket, "new" + i);
+        }
+        Thread.sleep(WAITED_MS);
+        signal("CONT");
+        for (Socket socket : sockets) {
+            String status = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8)).readLine();
+            assertTrue(status != null && status.matches("HTTP/1.1 (200|502|503) .*"), status);
+            socket.close();
+        }
+        var parts = new ArrayList<>(first.came());
+        parts.addAll(second.came());
+        parts.removeIf(part -> !sentNanos.containsKey(part.query()));
+        assertTrue(!parts.isEmpty(), "none was sent on");
+        List<String> toldTooMuch = parts.stream().filter(part -> part.toldMs() > leftMs(sentNanos.get(part.query()), part.cameNanos())
+                + TOLD_SLACK_MS).map(RecordingShardServer.Part::toString).toList();
+        assertEquals(toldTooMuch, List.of());
+    }
+
+    private static double leftMs(long sentNanos, long atNanos) {
+        return DEADLINE_MS - (atNanos - sentNanos) / 1e6;
+    }
 }
--- a/gatherer/src/test/java/sprucehold/command/RecordingShardServer.java
+++ b/gatherer/src/test/java/sprucehold/command/RecordingShardServer.java
@@ -8,6 +8,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.function.Function;
 
@@ -15,8 +16,13 @@
 final class RecordingShardServer implements AutoCloseable {
     private static final int LONGEST_FRAME = 1 << 20;
 
-    /** A part that has no end yet. */
-    record Part(String id, OutputStream to) {
+    /**
+     * A part that came.
+     *
+     * @param toldMs how long its answer is waited for, as the frame says
+     * @param cameNanos when it came, on the clock of {@link System#nanoTime}
+     */
+    record Part(String id, double toldMs, long cameNanos, OutputStream to) {
         String query() {
             return id.substring(0, id.indexOf('.'));
         }
@@ -84,10 +90,15 @@
             int end = lines.indexOf('\n', at);
             String[] words = lines.substring(at, end).split(" ");
             at = end + 1 + Integer.parseInt(words[3]);
-            take(new Part(words[0], to));
+            take(new Part(words[0], toldMs(words[2]), System.nanoTime(), to));
         }
     }
 
+    private static double toldMs(String options) {
+        return Arrays.stream(options.split(",")).filter(option -> option.startsWith("d=")).findFirst()
+                .map(option -> Double.parseDouble(option.substring(2))).orElseThrow();
+    }
+
     private void take(Part part) throws IOException {
         String as = ends.apply(part.query());
         synchronized (this) {
