--- a/gatherer/src/main/java/sprucehold/clients/ClientConnections.java
+++ b/gatherer/src/main/java/sprucehold/clients/ClientConnections.java
@@ -51,11 +51,11 @@
         boolean last;
         /** To be shut unless the next pass over the sockets brings something of it. */
         boolean doomed;
-        /** It has had no answer yet. */
-        boolean first = true;
+        final Arrival arrival;
 
-        State(double since) {
-            this.since = since;
+        State(Arrival arrival) {
+            this.arrival = arrival;
+            this.since = arrival.openedAt();
         }
     }
 
@@ -77,9 +77,13 @@
         this.closer = closer;
     }
 
-    /** Takes a connection in; true if there are too many now and {@link #trim} is due once they have been read. */
-    boolean opened(C connection) {
-        all.put(connection, new State(clock.getAsDouble()));
+    /**
+     * Takes a connection in; true if there are too many now and {@link #trim} is due once they have been read.
+     *
+     * @param connectedSince since when it may have been connected: before it was accepted it waited in the backlog
+     */
+    boolean opened(C connection, double connectedSince) {
+        all.put(connection, new State(new Arrival(connectedSince, clock.getAsDouble())));
         fresh.add(connection);
         return held() > most;
     }
@@ -149,7 +153,6 @@
         State state = all.get(connection);
         if (state != null && !state.last) {
             state.since = clock.getAsDouble();
-            state.first = false;
             fresh.remove(connection);
             begun.remove(connection);
             kept.add(connection);
@@ -179,10 +182,9 @@
         }
     }
 
-    /** Whether it has had no answer yet. */
-    boolean isFirst(C connection) {
-        State state = all.get(connection);
-        return state != null && state.first;
+    /** When it came. */
+    Arrival arrival(C connection) {
+        return all.get(connection).arrival;
     }
 
     /** Whether its next answer has to be its last. */
--- a/gatherer/src/main/java/sprucehold/clients/ClientServer.java
+++ b/gatherer/src/main/java/sprucehold/clients/ClientServer.java
@@ -118,7 +118,8 @@
         var closing = new LingeringClose(lingerMs, () -> passes.reading(channel(connection).eventLoop()),
                 () -> flooded(connection), () -> connections.shutting(connection));
         channel(connection).pipeline().addFirst(closing).replace("httpDecoder", "httpDecoder", new StrictDecoder(options));
-        if (connections.opened(connection) && !trimming) {
+        double connectedSince = clock.getAsDouble() - AcceptingTransport.backlogSeenEmptyMsAgo(channel(connection));
+        if (connections.opened(connection, connectedSince) && !trimming) {
             trimming = true;
             // A pass over the sockets later, so that what they have sent is read: a burst isn't a flood.
             vertx.setTimer(1, timer -> {
@@ -172,7 +173,7 @@
             last(request, 413, TOO_LONG);
             return;
         }
-        double cameAt = handler.unreadSince(passes.beganAt()) - waitedForAccept(request.connection());
+        double cameAt = handler.unreadSince(passes.beganAt(), connections.arrival(request.connection()));
         var body = Buffer.buffer();
         request.handler(bytes -> {
             if (body.length() + bytes.length() > LONGEST_BODY) {
@@ -196,11 +197,6 @@
         });
     }
 
-    /** How long its connection waited for failed accepts; a later request on it did not. */
-    private double waitedForAccept(HttpConnection connection) {
-        return connections.isFirst(connection) ? AcceptingTransport.waitedMs(channel(connection)) : 0;
-    }
-
     /** A request that fails is answered as such, and ends its connection: its client must not wait for nobody. */
     private void guarded(HttpServerRequest request, Runnable step) {
         try {
--- a/gatherer/src/main/java/sprucehold/node/Node.java
+++ b/gatherer/src/main/java/sprucehold/node/Node.java
@@ -19,6 +19,7 @@
 import java.util.logging.Logger;
 import java.util.stream.Collectors;
 import sprucehold.change.journal.JournalFile;
+import sprucehold.clients.Arrival;
 import sprucehold.clients.ClientServer;
 import sprucehold.clients.ScanHandler;
 import sprucehold.discovery.Watch;
@@ -169,8 +170,8 @@
     }
 
     @Override
-    public double unreadSince(double nowMs) {
-        return passes.unreadSince(nowMs);
+    public double unreadSince(double nowMs, Arrival arrival) {
+        return passes.unreadSince(nowMs, arrival);
     }
 
     @Override
@@ -237,6 +238,11 @@
             public void begun(Dispatch attempt) {
                 ScanLog.begun(attempt, clock.now());
             }
+
+            @Override
+            public void turnWanted() {
+                runSoon();
+            }
         };
     }
 
@@ -283,6 +289,7 @@
     /** What happened is told before anything new is begun, so that nothing is sent on for a client that has left. */
     private void turn() {
         decideOnReports();
+        guarded(shards::writeWaiting);
         if (tickDue) {
             tickDue = false;
             decide(() -> picker.tick(clock.now()));
--- a/gatherer/src/main/java/sprucehold/node/SocketPasses.java
+++ b/gatherer/src/main/java/sprucehold/node/SocketPasses.java
@@ -2,6 +2,7 @@
 
 import java.util.function.DoubleSupplier;
 import java.util.logging.Logger;
+import sprucehold.clients.Arrival;
 
 /**
  * The passes of the event loop over its sockets. In each pass the loop asks the system once which sockets can be read, reads
@@ -88,9 +89,13 @@
         });
     }
 
-    /** Since when something that is read at a moment may have lain unread: that moment itself where the loop is on time. */
-    double unreadSince(double nowMs) {
-        return nowMs - polledAfter <= ON_TIME_MS ? nowMs : polledAfter;
+    /**
+     * Since when something that is read at a moment on a connection may have lain unread: that moment itself where the loop is on
+     * time. A connection that no whole pass has read since it was opened may bring what came while it waited to be accepted.
+     */
+    double unreadSince(double nowMs, Arrival arrival) {
+        double since = polledAfter >= arrival.openedAt() ? polledAfter : Math.min(polledAfter, arrival.connectedSince());
+        return nowMs - since <= ON_TIME_MS ? nowMs : since;
     }
 
     /** How often and how long the loop was held up. */
--- a/gatherer/src/main/java/sprucehold/shards/AttemptGate.java
+++ b/gatherer/src/main/java/sprucehold/shards/AttemptGate.java
@@ -13,4 +13,7 @@
 
     /** The frame of the attempt is handed to its connection now. */
     void begun(Dispatch attempt);
+
+    /** Attempts wait that can be written now: {@link ShardServers#writeWaiting} is due in a turn of the decisions. */
+    void turnWanted();
 }
--- a/gatherer/src/main/java/sprucehold/shards/ShardLink.java
+++ b/gatherer/src/main/java/sprucehold/shards/ShardLink.java
@@ -1,5 +1,6 @@
 package sprucehold.shards;
 
+import io.netty.channel.Channel;
 import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.internal.net.NetSocketInternal;
@@ -19,6 +20,7 @@
 import sprucehold.picker.Progress;
 import sprucehold.picker.Scan;
 import sprucehold.sockets.UnreadInput;
+import sprucehold.sockets.UnsentOutput;
 
 /** One connection to a shard server, from the dial to its end, and all parts that are out on it. */
 final class ShardLink {
@@ -38,6 +40,9 @@
 
         void up(ShardLink link);
 
+        /** Calls wait on it that can be written now: {@link #writeWaiting} is due in the next turn. */
+        void turnWanted(ShardLink link);
+
         /** The link is over; {@code neverUp} if the dial failed. */
         void closed(ShardLink link, boolean neverUp, String why);
     }
@@ -57,7 +62,7 @@
     private final Owner owner;
     private final String address;
     private final int mostParts;
-    /** Calls that wait for the connection to come up, each with parts of one scan. */
+    /** Calls that wait for the connection to come up, or for the system to take what was written before; each with parts of one scan. */
     private final Queue<List<Dispatch>> waiting = new ArrayDeque<>();
     private final Map<String, Flight> flights = new LinkedHashMap<>();
     /**
@@ -114,12 +119,15 @@
             }
         });
         owner.up(this);
-        List<List<Dispatch>> calls = new ArrayList<>(waiting);
-        waiting.clear();
-        waitingParts = 0;
-        calls.forEach(this::write);
         waitingProbes.forEach(this::probe);
         waitingProbes.clear();
+        wantTurn();
+    }
+
+    private void wantTurn() {
+        if (!over && !waiting.isEmpty()) {
+            owner.turnWanted(this);
+        }
     }
 
     /** Whether a call of so many parts can go out on it, now or when it is up. */
@@ -130,21 +138,42 @@
                         || cancelled.contains(dispatch.partId()));
     }
 
+    /** To be called in a turn of the decisions, as {@link #writeWaiting} is. */
     void send(List<Dispatch> call) {
-        if (socket == null) {
-            waiting.add(new ArrayList<>(call));
-            waitingParts += call.size();
-        } else {
+        waiting.add(new ArrayList<>(call));
+        waitingParts += call.size();
+        writeWaiting();
+    }
+
+    /**
+     * Writes what waits, as far as the system takes it. To be called in a turn of the decisions, once they know all that had come when
+     * the turn began: what comes up, or is written out, in the middle of a pass over the sockets knows nothing of a list that tells
+     * of a drain and lies unread on another. Nothing waits in the process behind other frames: it could not be taken back.
+     */
+    void writeWaiting() {
+        while (socket != null && !over && !waiting.isEmpty() && UnsentOutput.isEmpty(channel())) {
+            List<Dispatch> call = waiting.poll();
+            waitingParts -= call.size();
             write(call);
         }
     }
 
+    private Channel channel() {
+        return ((NetSocketInternal) socket).channelHandlerContext().channel();
+    }
+
+    private Future<Void> put(Buffer frame) {
+        Future<Void> write = socket.write(frame);
+        write.onComplete(taken -> wantTurn());
+        return write;
+    }
+
     /**
      * Whether the server has kept it open, by all that has come up to now: what is written to one whose end lies unread would count as
      * reset, and may not be tried again where the effect might happen twice. One that isn't up yet may still come up.
      */
     boolean isOpenStill() {
-        return socket == null || UnreadInput.readAll(((NetSocketInternal) socket).channelHandlerContext().channel()) && !over;
+        return socket == null || UnreadInput.readAll(channel()) && !over;
     }
 
     /** The one place at which attempts are written; the parts of a call are of one query. */
@@ -160,7 +189,7 @@
             call.forEach(dispatch -> owner.ended(dispatch, new Outcome.Cancelled(Progress.NOT_WRITTEN)));
             return;
         }
-        Future<Void> write = socket.write(frame);
+        Future<Void> write = put(frame);
         List<Flight> out = call.stream().map(dispatch -> new Flight(dispatch, now)).toList();
         out.forEach(flight -> flights.put(flight.dispatch.partId(), flight));
         out.forEach(flight -> flight.write = write);
@@ -219,7 +248,7 @@
         if (cancelled.size() > MOST_CANCELLED) {
             cancelled.remove(cancelled.iterator().next());
         }
-        socket.write(GathererFrame.giveUp(dispatch.partId()));
+        put(GathererFrame.giveUp(dispatch.partId()));
         idle();
         owner.ended(dispatch, new Outcome.Cancelled(Progress.WRITTEN));
         return true;
@@ -231,7 +260,7 @@
             return;
         }
         probes.add(owner.now());
-        socket.write(load ? GathererFrame.loadProbe() : GathererFrame.probe());
+        put(load ? GathererFrame.loadProbe() : GathererFrame.probe());
     }
 
     /**
@@ -287,23 +316,33 @@
      * dial may take is doubtful: its machine may have vanished, and a new dial tells.
      */
     void sweep(double silenceMs, double idleMs) {
-        double now = owner.now();
         if (socket == null) {
             return;
         }
+        double now = owner.now();
+        if (reader.stalled(now, silenceMs) || unheard(now, silenceMs)) {
+            // After a hold-up it may have answered long ago.
+            UnreadInput.readAll(channel());
+        }
+        if (over) {
+            return;
+        }
         if (reader.stalled(now, silenceMs)) {
             unreadable("a frame that doesn't end");
             return;
         }
-        boolean unheard = flights.values().stream()
-                .anyMatch(flight -> flight.writtenAt >= heardAt && now - flight.writtenAt > silenceMs);
-        doubtful |= unheard;
-        boolean idle = flights.isEmpty() && probes.isEmpty();
+        doubtful |= unheard(now, silenceMs);
+        boolean idle = flights.isEmpty() && probes.isEmpty() && waiting.isEmpty();
         if (idle && (doubtful || now - idleSince > idleMs)) {
             close(false, null);
         }
     }
 
+    /** Whether a part that was written so long ago is the last that there was on the link. */
+    private boolean unheard(double now, double silenceMs) {
+        return flights.values().stream().anyMatch(flight -> flight.writtenAt >= heardAt && now - flight.writtenAt > silenceMs);
+    }
+
     /** Ends the link: {@code why} is null where that was our own wish. */
     void close(boolean neverUp, String why) {
         if (over) {
--- a/gatherer/src/main/java/sprucehold/shards/ShardServers.java
+++ b/gatherer/src/main/java/sprucehold/shards/ShardServers.java
@@ -9,8 +9,10 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
 import java.util.logging.Logger;
@@ -34,6 +36,8 @@
     private final Consumer<Report> reports;
     private final AttemptGate gate;
     private final Map<ShardServer, Peer> peers = new HashMap<>();
+    /** Links on which calls wait that can be written in the next turn. */
+    private final Set<ShardLink> ready = new LinkedHashSet<>();
 
     private final class Peer implements ShardLink.Owner {
         final ShardServer server;
@@ -77,6 +81,12 @@
             }
         }
 
+        @Override
+        public void turnWanted(ShardLink link) {
+            ready.add(link);
+            gate.turnWanted();
+        }
+
         @Override
         public void closed(ShardLink link, boolean neverUp, String why) {
             links.remove(link);
@@ -154,6 +164,13 @@
         });
     }
 
+    /** Writes calls that waited for a connection. To be called in a turn, once the decisions know all that had come when it began. */
+    public void writeWaiting() {
+        List<ShardLink> links = List.copyOf(ready);
+        ready.clear();
+        links.stream().filter(ShardLink::isOpenStill).forEach(ShardLink::writeWaiting);
+    }
+
     public void cancel(List<Dispatch> dispatches) {
         for (Dispatch dispatch : dispatches) {
             Peer peer = peers.get(dispatch.server());
--- a/gatherer/src/main/java/sprucehold/sockets/AcceptingTransport.java
+++ b/gatherer/src/main/java/sprucehold/sockets/AcceptingTransport.java
@@ -8,6 +8,8 @@
 
 /** The usual transport, with listeners that go on right after a failed accept. */
 public final class AcceptingTransport implements Transport {
+    private static final double NANOS_A_MS = 1e6;
+
     private final io.vertx.core.spi.transport.Transport sockets = new NioTransport() {
         @Override
         public ChannelFactory<? extends ServerChannel> serverChannelFactory(boolean domainSocket) {
@@ -15,9 +17,13 @@
         }
     };
 
-    /** How long a connection may have waited in the backlog for failed accepts, in milliseconds; 0 for most. */
-    public static double waitedMs(Channel connection) {
-        return AcceptingServerChannel.waitedMs(connection);
+    /**
+     * How long ago the backlog was last seen empty before a connection was accepted, in milliseconds: what is read first on the
+     * connection may have come at any time since.
+     */
+    public static double backlogSeenEmptyMsAgo(Channel connection) {
+        long seenEmptyAt = AcceptingServerChannel.backlogSeenEmptyAt(connection);
+        return (System.nanoTime() - seenEmptyAt) / NANOS_A_MS;
     }
 
     @Override
--- a/gatherer/src/main/java/sprucehold/sockets/UnreadInput.java
+++ b/gatherer/src/main/java/sprucehold/sockets/UnreadInput.java
@@ -8,8 +8,11 @@
  * a stream only in the pass after the bytes before it; whatever rests on the other side's presence has to read first.
  */
 public final class UnreadInput {
-    /** A sender that is faster than the reader must not keep it here. */
-    private static final int MOST_READS = 16;
+    /**
+     * The most that the system holds of a connection unread (Linux, tcp_rmem: 6 MiB unless it is set otherwise), with room to spare. So
+     * all that lay unread at the call is read, and a sender that is faster than the reader does not keep it here.
+     */
+    private static final int MOST_BYTES = 8 * 1024 * 1024;
 
     private UnreadInput() {
     }
@@ -22,11 +25,10 @@
      */
     public static boolean readAll(Channel channel) {
         if (channel.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe) {
-            for (int i = 0; i < MOST_READS && channel.isActive(); i++) {
+            int lastBytes = 1;
+            for (int bytes = 0; bytes < MOST_BYTES && lastBytes > 0 && channel.isActive(); bytes += lastBytes) {
                 unsafe.read();
-                if (unsafe.recvBufAllocHandle().lastBytesRead() <= 0) {
-                    break;
-                }
+                lastBytes = unsafe.recvBufAllocHandle().lastBytesRead();
             }
         }
         return channel.isActive();
--- a/gatherer/src/test/java/sprucehold/clients/ClientConnectionsTest.java
+++ b/gatherer/src/test/java/sprucehold/clients/ClientConnectionsTest.java
@@ -1,7 +1,6 @@
 package sprucehold.clients;
 
 import static org.testng.Assert.assertEquals;
-import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import java.util.ArrayList;
@@ -14,6 +13,9 @@
 
 /** When connections of clients end, without any. */
 public class ClientConnectionsTest {
+    /** So long each connection may have waited to be accepted. */
+    private static final double BACKLOG_MS = 30;
+
     private double now;
     private final List<String> done = new ArrayList<>();
     private ClientConnections<String> connections;
@@ -52,7 +54,7 @@
         String[] words = step.split(" ");
         String c = words.length > 1 ? words[1] : "";
         switch (words[0]) {
-            case "open" -> connections.opened(c);
+            case "open" -> connections.opened(c, now - BACKLOG_MS);
             case "head" -> connections.begun(c);
             case "whole" -> connections.busy(c);
             case "answered" -> connections.answered(c);
@@ -150,13 +152,14 @@
     }
 
     @Test
-    public void aConnectionIsTheFirstOfItsRequestsUntilItsAnswer() {
-        for (String step : List.of("open a", "head a", "whole a")) {
+    public void whenAConnectionCameStaysKnownThroughItsRequests() {
+        for (String step : List.of("100", "open a", "head a", "whole a", "7", "answered a", "5", "head a")) {
             step(step);
-            assertTrue(connections.isFirst("a"));
+            if (now > 0 && connections.size() > 0) {
+                assertEquals(connections.arrival("a"), new Arrival(100 - BACKLOG_MS, 100), step);
+            }
         }
-        step("answered a");
-        assertFalse(connections.isFirst("a"));
+        assertEquals(connections.size(), 1);
     }
 
     /** Whatever happens in whatever order: none is shut twice, none is cut that wasn't shut, and none is forgotten. */
--- a/gatherer/src/test/java/sprucehold/clients/ClientServerTest.java
+++ b/gatherer/src/test/java/sprucehold/clients/ClientServerTest.java
@@ -52,6 +52,7 @@
     private volatile double heldUpMs;
     private BlockingQueue<Scan> taken;
     private BlockingQueue<Scan> left;
+    private BlockingQueue<Arrival> arrivals;
 
     @BeforeMethod
     public void start() throws Exception {
@@ -65,6 +66,7 @@
         heldUpMs = 0;
         taken = new LinkedBlockingQueue<>();
         left = new LinkedBlockingQueue<>();
+        arrivals = new LinkedBlockingQueue<>();
         vertx = Vertx.vertx();
         loop = new TestLoop(vertx);
         var handler = new ScanHandler() {
@@ -84,7 +86,8 @@
             }
 
             @Override
-            public double unreadSince(double nowMs) {
+            public double unreadSince(double nowMs, Arrival arrival) {
+                arrivals.add(arrival);
                 return nowMs - heldUpMs;
             }
 
--- a/gatherer/src/test/java/sprucehold/node/SocketPassesTest.java
+++ b/gatherer/src/test/java/sprucehold/node/SocketPassesTest.java
@@ -6,7 +6,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
+import sprucehold.clients.Arrival;
 
 /** What is known of the passes over the sockets, on a clock and timers of the test's own. */
 public class SocketPassesTest {
@@ -24,6 +26,11 @@
         passes = new SocketPasses(() -> now, (delayMs, work) -> timers.add(new Timer(now + delayMs, work)));
     }
 
+    /** Since when something may have lain unread that is read on a connection which the loop has read for long. */
+    private double unreadSince(double nowMs) {
+        return passes.unreadSince(nowMs, new Arrival(0, 0));
+    }
+
     /** A pass at a moment: the sockets are read, then the timers that are due fire. */
     private void pass(double at) {
         now = at;
@@ -37,7 +44,7 @@
         for (int i = 1; i <= 20; i++) {
             pass(1000 + i * SocketPasses.HEARTBEAT_MS);
         }
-        assertEquals(passes.unreadSince(1410), 1410.0);
+        assertEquals(unreadSince(1410), 1410.0);
         assertEquals(passes.summary(), "0 hold-ups, the longest 0 ms");
     }
 
@@ -46,12 +53,34 @@
         pass(1020);
         pass(1040);
         // Held up from 1041 on. The pass at 1040 asked the system after the heartbeat before it was set, at 1020.
-        assertEquals(passes.unreadSince(1191), 1020.0);
+        assertEquals(unreadSince(1191), 1020.0);
         pass(1191);
         // The pass at 1191 is known to have asked after 1040 only, so what it left may be as old; the next one has asked after 1191.
-        assertEquals(passes.unreadSince(1192), 1040.0);
+        assertEquals(unreadSince(1192), 1040.0);
         pass(1192);
-        assertEquals(passes.unreadSince(1193), 1193.0);
+        assertEquals(unreadSince(1193), 1193.0);
+    }
+
+    @DataProvider
+    Object[][] newcomers() {
+        return new Object[][] {
+            // Connected since, opened at, and since when its first request that is read at 1200 may have lain unread.
+            {"waited to be accepted for longer than the loop did not read", 300, 1195, 300},
+            {"waited as long as is on time", 1160, 1195, 1200},
+            {"opened before the last whole pass, which found nothing", 300, 1170, 1200},
+        };
+    }
+
+    /** As after a hold-up of the whole process: the loop was on time again before the listener came to accept. */
+    @Test(dataProvider = "newcomers")
+    public void whatIsReadFirstOnAConnectionMayHaveComeWhileItWaitedToBeAccepted(String which, double connectedSince, double openedAt,
+            double expected) {
+        pass(1020);
+        pass(1150);
+        for (double at = 1170; at <= 1200; at += 10) {
+            pass(at);
+        }
+        assertEquals(passes.unreadSince(1200, new Arrival(connectedSince, openedAt)), expected, which);
     }
 
     @Test
@@ -68,7 +97,7 @@
         pass(1020);
         now = 1100;
         var done = new ArrayList<Double>();
-        passes.afterNextPass(() -> done.add(passes.unreadSince(now + 60)));
+        passes.afterNextPass(() -> done.add(unreadSince(now + 60)));
         assertTrue(done.isEmpty());
         pass(1105);
         assertEquals(done, List.of(1100.0));
--- a/gatherer/src/test/java/sprucehold/shards/ShardServersTest.java
+++ b/gatherer/src/test/java/sprucehold/shards/ShardServersTest.java
@@ -24,6 +24,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BiConsumer;
 import java.util.stream.Stream;
 import org.testng.annotations.AfterMethod;
@@ -70,7 +71,18 @@
         public void begun(Dispatch attempt) {
             begun.add(attempt.partId());
         }
+
+        @Override
+        public void turnWanted() {
+            turnsWanted.incrementAndGet();
+            if (!holdsTurns) {
+                vertx.runOnContext(none -> shards.writeWaiting());
+            }
+        }
     };
+    /** Turns come when the test says so. */
+    private volatile boolean holdsTurns;
+    private final AtomicInteger turnsWanted = new AtomicInteger();
     private final List<String> begun = new CopyOnWriteArrayList<>();
 
     @BeforeMethod
@@ -82,6 +94,8 @@
         now = 0;
         panics = false;
         clientWaits = true;
+        holdsTurns = false;
+        turnsWanted.set(0);
         begun.clear();
         repeat = TableType.Repeat.REPLAYABLE;
     }
@@ -552,6 +566,7 @@
 
     /** Reads a whole frame and answers the part that it asks for. */
     private static void serveOne(Socket connection, String partId) throws IOException {
+        connection.setSoTimeout(10_000);
         int length = Integer.reverseBytes(new DataInputStream(connection.getInputStream()).readInt());
         assertTrue(new String(connection.getInputStream().readNBytes(length), StandardCharsets.US_ASCII).startsWith("A" + partId));
         String frame = "E" + partId + " hit 5 -\nvalue";
@@ -580,4 +595,86 @@
             }
         }
     }
+
+    /** What comes up in the middle of a pass knows nothing of a list that lies unread and tells of a drain. */
+    @Test
+    public void aConnectionThatComesUpIsWrittenToInTheNextTurnOnly() throws Exception {
+        holdsTurns = true;
+        start(32, 1, (socket, bytes) -> { });
+        List<Dispatch> sent = dispatches("s", 1, "text");
+        send(sent);
+        loop.until(() -> turnsWanted.get() > 0);
+        assertEquals(begun, List.of());
+        list(ServerNews.State.DRAINING, server.actualPort());
+        loop.act(() -> shards.writeWaiting());
+        assertEquals(outcome(sent.get(0)), new Outcome.Lost(Progress.NOT_WRITTEN));
+        assertEquals(begun, List.of());
+    }
+
+    @Test
+    public void noAttemptWaitsInTheProcessBehindWhatTheSystemHasNotTaken() throws Exception {
+        var connections = new CopyOnWriteArrayList<NetSocket>();
+        serve(32, 1, socket -> {
+            socket.pause();
+            socket.handler(bytes -> { });
+            connections.add(socket);
+        });
+        List<Dispatch> big = dispatches("s", 1, "x".repeat(BIG));
+        List<Dispatch> small = dispatches("t", 1, "text");
+        loop.act(() -> {
+            shards.send(big);
+            shards.send(small);
+        });
+        loop.until(() -> !connections.isEmpty() && begun.contains("s.0"));
+        assertEquals(begun, List.of("s.0"));
+        clientWaits = false;
+        connections.get(0).resume();
+        assertEquals(outcome(small.get(0)), new Outcome.Cancelled(Progress.NOT_WRITTEN));
+        assertEquals(begun, List.of("s.0"));
+    }
+
+    @Test
+    public void whatWaitedBehindAnotherFrameIsWrittenOnceThatIsTaken() throws Exception {
+        var connections = new CopyOnWriteArrayList<NetSocket>();
+        serve(32, 1, socket -> {
+            socket.pause();
+            socket.handler(bytes -> { });
+            connections.add(socket);
+        });
+        loop.act(() -> {
+            shards.send(dispatches("s", 1, "x".repeat(BIG)));
+            shards.send(dispatches("t", 1, "text"));
+        });
+        loop.until(() -> !connections.isEmpty() && begun.contains("s.0"));
+        connections.get(0).resume();
+        loop.until(() -> begun.equals(List.of("s.0", "t.0")));
+        assertEquals(links(), 1);
+    }
+
+    /** As after a hold-up: the time is over by which it should have answered, and its answer lies unread. */
+    @Test
+    public void aServerWhoseAnswerLiesUnreadIsNotTakenForSilent() throws Exception {
+        start(32, 1, (socket, bytes) -> { });
+        try (var listener = new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"))) {
+            listener.setSoTimeout(10_000);
+            list(ServerNews.State.RUNNING, listener.getLocalPort());
+            List<Dispatch> first = dispatches("s", 1, "text");
+            send(first);
+            try (Socket connection = listener.accept()) {
+                loop.until(() -> begun.contains("s.0"));
+                List<Dispatch> second = dispatches("t", 1, "text");
+                Runnable free = loop.hold(() -> {
+                    now = 220;
+                    shards.sweep(200);
+                    shards.send(second);
+                });
+                serveOne(connection, "s.0");
+                free.run();
+                assertTrue(outcome(first.get(0)) instanceof Outcome.Completed);
+                serveOne(connection, "t.0");
+                assertTrue(outcome(second.get(0)) instanceof Outcome.Completed);
+                assertEquals(links(), 1);
+            }
+        }
+    }
 }
--- /dev/null
+++ b/gatherer/src/test/java/sprucehold/sockets/UnreadInputTest.java
@@ -0,0 +1,98 @@
+package sprucehold.sockets;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertTrue;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.FixedRecvByteBufAllocator;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Future;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** A connection on which much lies unread, and its end behind that. */
+public class UnreadInputTest {
+    private static final int RECEIVE_BUFFER = 1 << 20;
+    private static final int READ_BYTES = 4096;
+
+    private EventLoopGroup loop;
+    private InetSocketAddress address;
+    private BlockingQueue<Channel> accepted;
+    private AtomicLong read;
+
+    @BeforeMethod
+    public void listen() {
+        accepted = new LinkedBlockingQueue<>();
+        read = new AtomicLong();
+        loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        address = (InetSocketAddress) new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_RCVBUF, RECEIVE_BUFFER)
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(READ_BYTES))
+                .childHandler(new ChannelInitializer<>() {
+                    @Override
+                    protected void initChannel(Channel connection) {
+                        connection.pipeline().addLast(new ChannelInboundHandlerAdapter() {
+                            @Override
+                            public void channelRead(ChannelHandlerContext ctx, Object bytes) {
+                                read.addAndGet(((ByteBuf) bytes).readableBytes());
+                                ((ByteBuf) bytes).release();
+                            }
+                        });
+                        accepted.add(connection);
+                    }
+                }).bind("127.0.0.1", 0).syncUninterruptibly().channel().localAddress();
+    }
+
+    @AfterMethod
+    public void close() {
+        loop.shutdownGracefully(0, 5, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+
+    @DataProvider
+    Object[][] sizes() {
+        return new Object[][] {{0}, {1}, {READ_BYTES}, {64 * 1024}, {RECEIVE_BUFFER / 4}};
+    }
+
+    @Test(dataProvider = "sizes")
+    public void theEndIsSeenHoweverMuchLiesUnreadBeforeIt(int bytes) throws Exception {
+        var held = new CountDownLatch(1);
+        var free = new CountDownLatch(1);
+        Future<Boolean> open;
+        try (var client = new Socket(address.getAddress(), address.getPort())) {
+            Channel connection = accepted.poll(10, TimeUnit.SECONDS);
+            assertNotNull(connection);
+            open = loop.submit(() -> {
+                held.countDown();
+                assertTrue(free.await(10, TimeUnit.SECONDS));
+                return UnreadInput.readAll(connection);
+            });
+            assertTrue(held.await(10, TimeUnit.SECONDS));
+            client.getOutputStream().write(new byte[bytes]);
+            // The close returns once the other side's system has all, the end included.
+            client.setSoLinger(true, 10);
+        }
+        free.countDown();
+        assertFalse(open.get(10, TimeUnit.SECONDS), "it looks open");
+        assertEquals(read.get(), bytes);
+    }
+}
