--- /dev/null
+++ b/gatherer/src/test/java/sprucehold/sockets/RoundedUpWaitsTest.java
@@ -0,0 +1,64 @@
+package sprucehold.sockets;
+
+import static org.testng.Assert.assertTrue;
+
+import io.netty.channel.IoHandler;
+import io.netty.channel.IoHandlerContext;
+import io.netty.util.concurrent.ThreadAwareExecutor;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** How the transport's loop waits for its timers. */
+public class RoundedUpWaitsTest {
+    /** Under half a millisecond, for which Netty's own handler does not wait at all. */
+    private static final long DUE_IN_NANOS = 400_000;
+    private static final int PASSES = 50;
+
+    private IoHandler handler;
+
+    @BeforeMethod
+    public void open() {
+        handler = new AcceptingTransport().implementation().ioHandlerFactory().newHandler(new ThreadAwareExecutor() {
+            @Override
+            public boolean isExecutorThread(Thread thread) {
+                return true;
+            }
+
+            @Override
+            public void execute(Runnable task) {
+                task.run();
+            }
+        });
+        handler.initialize();
+    }
+
+    @AfterMethod
+    public void close() {
+        handler.prepareToDestroy();
+        handler.destroy();
+    }
+
+    /** A loop with nothing to do but a timer that is due at a moment by {@link System#nanoTime}. */
+    private record TimerDue(long deadlineNanos) implements IoHandlerContext {
+        @Override
+        public boolean canBlock() {
+            return true;
+        }
+
+        @Override
+        public long delayNanos(long nowNanos) {
+            return Math.max(0, deadlineNanos - nowNanos);
+        }
+    }
+
+    @Test
+    public void aPassWithoutWorkLastsUntilTheNextTimerIsDue() {
+        for (int i = 0; i < PASSES; i++) {
+            long dueAt = System.nanoTime() + DUE_IN_NANOS;
+            handler.run(new TimerDue(dueAt));
+            long early = dueAt - System.nanoTime();
+            assertTrue(early <= 0, "pass " + i + " ended " + early + " ns before its timer was due, so the loop polls until then");
+        }
+    }
+}
