Wait for timers in whole milliseconds rounded up, so that the loop never polls for them

Cause: NioIoHandler.millisBeforeDeadline rounds to the nearest millisecond; with under half a millisecond left NioIoHandler.select calls selectNow and ends the pass, so the loop polled its sockets without a wait until the timer was due, before about each second of its timers. Change: sockets.RoundedUpWaits, around Netty's handler, has it wait in whole milliseconds rounded up.

--- a/gatherer/src/main/java/sprucehold/sockets/AcceptingTransport.java
+++ b/gatherer/src/main/java/sprucehold/sockets/AcceptingTransport.java
@@ -2,15 +2,21 @@
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFactory;
+import io.netty.channel.IoHandlerFactory;
 import io.netty.channel.ServerChannel;
 import io.vertx.core.impl.transports.NioTransport;
 import io.vertx.core.transport.Transport;
 
-/** The usual transport, with listeners that go on right after a failed accept. */
+/** The usual transport, with listeners that go on right after a failed accept and loops that wait for their timers without polling. */
 public final class AcceptingTransport implements Transport {
     private static final double NANOS_A_MS = 1e6;
 
     private final io.vertx.core.spi.transport.Transport sockets = new NioTransport() {
+        @Override
+        public IoHandlerFactory ioHandlerFactory() {
+            return RoundedUpWaits.around(super.ioHandlerFactory());
+        }
+
         @Override
         public ChannelFactory<? extends ServerChannel> serverChannelFactory(boolean domainSocket) {
             return domainSocket ? super.serverChannelFactory(true) : AcceptingServerChannel::new;
--- a/gatherer/src/test/java/sprucehold/sockets/RoundedUpWaitsTest.java
+++ b/gatherer/src/test/java/sprucehold/sockets/RoundedUpWaitsTest.java
@@ -1,5 +1,6 @@
 package sprucehold.sockets;
 
+import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
 import io.netty.channel.IoHandler;
@@ -7,6 +8,7 @@
 import io.netty.util.concurrent.ThreadAwareExecutor;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** How the transport's loop waits for its timers. */
@@ -61,4 +63,17 @@
             assertTrue(early <= 0, "pass " + i + " ended " + early + " ns before its timer was due, so the loop polls until then");
         }
     }
+
+    @DataProvider
+    public Object[][] waits() {
+        return new Object[][] {
+            {Long.MIN_VALUE, Long.MIN_VALUE}, {-1, -1}, {0, 0}, {1, 1_000_000}, {999_999, 1_000_000}, {1_000_000, 1_000_000},
+            {1_000_001, 2_000_000}, {Long.MAX_VALUE - 999_999, Long.MAX_VALUE - 999_999}, {Long.MAX_VALUE, Long.MAX_VALUE},
+        };
+    }
+
+    @Test(dataProvider = "waits")
+    public void aWaitIsNeverShorterAndNoneIsMadeWhereATimerIsDue(long dueInNanos, long waitNanos) {
+        assertEquals(RoundedUpWaits.roundedUp(dueInNanos), waitNanos);
+    }
 }
