--- a/gatherer/src/test/java/sprucehold/clients/ClientServerTest.java
+++ b/gatherer/src/test/java/sprucehold/clients/ClientServerTest.java
@@ -42,6 +42,11 @@
     /** No test is so slow that it would meet the end of a connection's lingering unless it means to. */
     private static final long LONG_MS = 60_000;
 
+    /** Some 44 KB, far more than anybody asks at once. */
+    private static final int FLOOD_REQUESTS = 400;
+    /** What one connection may take of a pass, so that others' sockets are read soon: two reads, and the rest of a request before them. */
+    private static final int MOST_BYTES_A_PASS = 8 * 1024 + 512;
+
     private Vertx vertx;
     private TestLoop loop;
     private ClientServer server;
@@ -53,6 +58,9 @@
     private BlockingQueue<Scan> taken;
     private BlockingQueue<Scan> left;
     private BlockingQueue<Arrival> arrivals;
+    private boolean inPass;
+    private int requestsOfPass;
+    private volatile int mostRequestsOfAPass;
 
     @BeforeMethod
     public void start() throws Exception {
@@ -64,6 +72,8 @@
         now = 0;
         atOnce = null;
         heldUpMs = 0;
+        inPass = false;
+        mostRequestsOfAPass = 0;
         taken = new LinkedBlockingQueue<>();
         left = new LinkedBlockingQueue<>();
         arrivals = new LinkedBlockingQueue<>();
@@ -88,6 +98,7 @@
             @Override
             public double unreadSince(double nowMs, Arrival arrival) {
                 arrivals.add(arrival);
+                countInPass();
                 return nowMs - heldUpMs;
             }
 
@@ -115,6 +126,17 @@
         port = listening.get(5, TimeUnit.SECONDS).actualPort();
     }
 
+    /** Work that is handed over while sockets are read is done once the pass over them is through. */
+    private void countInPass() {
+        if (!inPass) {
+            inPass = true;
+            requestsOfPass = 0;
+            Vertx.currentContext().runOnContext(none -> inPass = false);
+        }
+        requestsOfPass++;
+        mostRequestsOfAPass = Math.max(mostRequestsOfAPass, requestsOfPass);
+    }
+
     @AfterMethod
     public void stop() throws Exception {
         vertx.close().toCompletionStage().toCompletableFuture().get(5, TimeUnit.SECONDS);
@@ -132,6 +154,21 @@
         return socket;
     }
 
+    @Test
+    public void whoSendsMuchAtOnceTakesABoundedPartOfEachPass() throws Exception {
+        String request = post("/none", "f", "");
+        try (Socket client = connect(request)) {
+            assertTrue(response(client).startsWith("HTTP/1.1 404"));
+            Runnable goOn = loop.hold(() -> { });
+            client.getOutputStream().write(request.repeat(FLOOD_REQUESTS).getBytes(StandardCharsets.UTF_8));
+            goOn.run();
+            for (int i = 0; i < FLOOD_REQUESTS; i++) {
+                assertTrue(response(client).startsWith("HTTP/1.1 404"), "request " + i);
+            }
+        }
+        assertTrue(mostRequestsOfAPass * request.length() <= MOST_BYTES_A_PASS, mostRequestsOfAPass + " requests in one pass");
+    }
+
     /** Reads one response, headers and sized body. */
     private static String response(Socket socket) throws IOException {
         InputStream in = socket.getInputStream();
