--- a/gatherer/src/test/java/sprucehold/shards/ShardServersTest.java
+++ b/gatherer/src/test/java/sprucehold/shards/ShardServersTest.java
@@ -611,14 +611,20 @@
         assertEquals(begun, List.of());
     }
 
-    @Test
-    public void noAttemptWaitsInTheProcessBehindWhatTheSystemHasNotTaken() throws Exception {
+    /** A server that reads nothing until its connections, which are returned as they come up, are resumed. */
+    private List<NetSocket> serveUnread() throws Exception {
         var connections = new CopyOnWriteArrayList<NetSocket>();
         serve(32, 1, socket -> {
             socket.pause();
             socket.handler(bytes -> { });
             connections.add(socket);
         });
+        return connections;
+    }
+
+    @Test
+    public void noAttemptWaitsInTheProcessBehindWhatTheSystemHasNotTaken() throws Exception {
+        List<NetSocket> connections = serveUnread();
         List<Dispatch> big = dispatches("s", 1, "x".repeat(BIG));
         List<Dispatch> small = dispatches("t", 1, "text");
         loop.act(() -> {
@@ -635,12 +641,7 @@
 
     @Test
     public void whatWaitedBehindAnotherFrameIsWrittenOnceThatIsTaken() throws Exception {
-        var connections = new CopyOnWriteArrayList<NetSocket>();
-        serve(32, 1, socket -> {
-            socket.pause();
-            socket.handler(bytes -> { });
-            connections.add(socket);
-        });
+        List<NetSocket> connections = serveUnread();
         loop.act(() -> {
             shards.send(dispatches("s", 1, "x".repeat(BIG)));
             shards.send(dispatches("t", 1, "text"));
