--- a/rig/src/main/java/sprucehold/rig/run/Run.java
+++ b/rig/src/main/java/sprucehold/rig/run/Run.java
@@ -25,9 +25,6 @@
 import java.util.function.Consumer;
 import org.HdrHistogram.Histogram;
 import sprucehold.rig.fault.FaultBoard;
-import sprucehold.rig.link.DatagramRelay;
-import sprucehold.rig.link.Flood;
-import sprucehold.rig.link.TcpRelay;
 import sprucehold.rig.link.Wires;
 import sprucehold.rig.list.AgentHost;
 import sprucehold.rig.list.ServerList;
@@ -52,8 +49,6 @@
 
 /** One run. Bounded in time by its script; whatever happens, its processes end with it. */
 public final class Run implements AutoCloseable {
-    /** Discovery learns so late that a server died, as health checks a second apart do on the mean. */
-    private static final long DEATH_KNOWN_MS = 500;
     /** Clients are done by their longest time to wait, and this. */
     private static final double AFTER_MS = 1500;
     private static final long END_WITHIN_MS = 12_000;
@@ -75,15 +70,12 @@
     private final Guardian guardian;
     private final Wires wires;
     private final ServerList list;
-    private final List<ServerHost> servers = new ArrayList<>();
+    private final ShardServerFleet servers;
     private final Map<String, AgentHost> agents = new LinkedHashMap<>();
     private final Map<String, GathererProcess> gatherers = new LinkedHashMap<>();
     /** Other processes of a gatherer's name. */
     private final Map<String, GathererProcess> twins = new LinkedHashMap<>();
-    /** What lies between two gatherers, by whom it leads to. */
-    private final Map<String, List<DatagramRelay>> letters = new LinkedHashMap<>();
-    private final List<TcpRelay> streams = new ArrayList<>();
-    private final Map<Plan.Befall, List<Flood>> floods = new HashMap<>();
+    private final PeerRelays relays;
     private final Map<String, Integer> out = new HashMap<>();
     private final Front front;
     private final Clients clients;
@@ -115,6 +107,8 @@
         this.wires = new Wires(vertx, this::now, seed);
         this.list = new ServerList(plan.servers().stream().map(server -> new ServerList.Entry(server.name(), server.site(),
                 server.cell(), ServerList.Status.ACTIVE, 0, 0)).toList());
+        this.servers = new ShardServerFleet(vertx, this::now, list, plan.servers().stream().map(Plan.Server::name).toList());
+        this.relays = new PeerRelays(vertx, wires, addresses, plan.gatherers().stream().map(Plan.Gatherer::name).toList());
         var siteOf = new HashMap<String, String>();
         plan.gatherers().forEach(gatherer -> siteOf.put(gatherer.name(), gatherer.site()));
         this.front = new Front(siteOf, script.frontLearnsMs());
@@ -170,7 +164,7 @@
         return folder.write(new RunFolder.Kept(plan.seed(), overMs, List.copyOf(spans), List.copyOf(outcomes),
                 new Figures.Self(loopLate.getValueAtPercentile(99) / 1000.0, loopLate.getMaxValue() / 1000.0, cores, memory,
                         gatherers.values().stream().mapToDouble(GathererProcess::cores).max().orElse(0),
-                        servers.stream().mapToDouble(ServerHost::mostPushed).max().orElse(0)),
+                        servers.mostPushed()),
                 List.copyOf(crashed)), ledger.inOrder());
     }
 
@@ -202,22 +196,21 @@
         var all = new ArrayList<Future<?>>();
         for (int i = 0; i < plan.servers().size(); i++) {
             String name = plan.servers().get(i).name();
-            servers.add(new ServerHost(vertx, wires, this::now, ledger, addresses, script, plan, i, this::outs,
-                    () -> fellOver(name)));
-            all.add(servers.get(i).listen());
+            all.add(servers.listen(new ServerHost(vertx, wires, this::now, ledger, addresses, script, plan, i, this::outs,
+                    () -> servers.fellOver(name))));
         }
         for (int i = 0; i < plan.gatherers().size(); i++) {
             Plan.Gatherer gatherer = plan.gatherers().get(i);
             int number = i;
             var agent = new AgentHost(vertx, this::now, ledger, list, gatherer.name(), entry -> addresses.server(number)
-                    + ":" + addresses.serverPort(server(entry.name()), entry.life()));
+                    + ":" + addresses.serverPort(servers.number(entry.name()), entry.life()));
             agents.put(gatherer.name(), agent);
             all.add(agent.listen(addresses.discovery(i), addresses.discoveryPort()));
             gatherers.put(gatherer.name(), new GathererProcess(vertx, home, guardian, gatherer.name(),
                     SocketAddress.inetSocketAddress(addresses.gathererPort(), addresses.gatherer(i)),
                     folder.file(gatherer.name() + ".log")));
             if (script.together() != null) {
-                relays(i, all);
+                all.add(relays.listen(i));
             }
         }
         return Future.all(all).compose(listening -> {
@@ -226,32 +219,6 @@
         });
     }
 
-    /** What leads from one gatherer to each other. */
-    private void relays(int from, List<Future<?>> all) {
-        for (int to = 0; to < plan.gatherers().size(); to++) {
-            if (to != from) {
-                String one = plan.gatherers().get(from).name();
-                String other = plan.gatherers().get(to).name();
-                var datagrams = new DatagramRelay(vertx, wires, one, other, addresses.gatherer(to), addresses.postPort());
-                letters.computeIfAbsent(other, none -> new ArrayList<>()).add(datagrams);
-                all.add(datagrams.listen(addresses.others(from), addresses.othersPort(to)));
-                var stream = new TcpRelay(vertx, wires, one, other,
-                        SocketAddress.inetSocketAddress(addresses.postPort(), addresses.gatherer(to)));
-                streams.add(stream);
-                all.add(stream.listen(addresses.others(from), addresses.othersPort(to)));
-            }
-        }
-    }
-
-    private int server(String name) {
-        for (int i = 0; i < plan.servers().size(); i++) {
-            if (plan.servers().get(i).name().equals(name)) {
-                return i;
-            }
-        }
-        throw new IllegalArgumentException("no shard server is called " + name);
-    }
-
     private Future<Void> start(String name, Plan.Clocks clocks) {
         int number = number(name);
         sentAway.remove(name);
@@ -299,17 +266,6 @@
         });
     }
 
-    private void flood(String name, FaultBoard.Change change) {
-        List<Flood> all = floods.computeIfAbsent(change.what(), none -> new ArrayList<>());
-        if (change.begins()) {
-            all.add(new Flood(vertx, wires, addresses.gatherer(number(name)), addresses.postPort(), change.what().fault().amount(),
-                    () -> letters.get(name).stream().flatMap(relay -> relay.recent().stream()).toList()));
-        } else {
-            all.forEach(Flood::close);
-            all.clear();
-        }
-    }
-
     private void gone(String name, int code) {
         front.gone(now(), name);
         if (!sentAway.getOrDefault(name, false)) {
@@ -400,9 +356,9 @@
             case GATHERER -> fault.of().forEach(name -> gatherer(name, change));
             case LINK -> {
                 wires.change(change);
-                servers.forEach(ServerHost::linksChanged);
+                servers.linksChanged();
             }
-            case SERVER -> fault.of().forEach(name -> server(name, change));
+            case SERVER -> fault.of().forEach(name -> servers.change(name, change));
             case DISCOVERY -> fault.of().forEach(name -> agents.get(name).change(change.begins(), fault));
             default -> throw new IllegalStateException("nobody carries out " + fault);
         }
@@ -455,7 +411,7 @@
                 }
             }
             case TWIN -> twin(name, change.begins());
-            case FLOOD -> flood(name, change);
+            case FLOOD -> relays.flood(number(name), change);
             default -> throw new IllegalStateException(fault.kind() + " befalls no gatherer");
         }
     }
@@ -490,51 +446,6 @@
         }
     }
 
-    private void server(String name, FaultBoard.Change change) {
-        ServerHost host = servers.get(server(name));
-        host.change(change.begins(), change.what());
-        ServerList.Entry entry = list.entry(name);
-        switch (change.what().fault().kind()) {
-            case DRAIN -> list.change(now(), entry(entry, change.begins() ? ServerList.Status.LEAVING
-                    : ServerList.Status.ACTIVE, entry.sinceMs(), entry.life()));
-            case DIE -> {
-                if (change.begins()) {
-                    died(name);
-                } else {
-                    isBack(name);
-                }
-            }
-            default -> { }
-        }
-    }
-
-    private static ServerList.Entry entry(ServerList.Entry entry, ServerList.Status status, double sinceMs, int life) {
-        return new ServerList.Entry(entry.name(), entry.site(), entry.cell(), status, sinceMs, life);
-    }
-
-    private void died(String name) {
-        int life = servers.get(server(name)).life();
-        vertx.setTimer(DEATH_KNOWN_MS, known -> {
-            ServerList.Entry entry = list.entry(name);
-            if (entry.life() == life && servers.get(server(name)).life() == life) {
-                list.change(now(), entry(entry, ServerList.Status.LEFT, entry.sinceMs(), life));
-            }
-        });
-    }
-
-    private void isBack(String name) {
-        list.change(now(), entry(list.entry(name), ServerList.Status.ACTIVE, now(), servers.get(server(name)).life()));
-    }
-
-    /** As its supervisor would: it is started again two seconds after it fell over. */
-    private void fellOver(String name) {
-        died(name);
-        vertx.setTimer(2000, waited -> {
-            servers.get(server(name)).comeBack();
-            isBack(name);
-        });
-    }
-
     // ---- End ----
 
     private Future<Void> end() {
@@ -548,7 +459,7 @@
             over(fault);
         });
         List.copyOf(heldSince.keySet()).forEach(this::goesOn);
-        floods.values().forEach(all -> all.forEach(Flood::close));
+        relays.endFloods();
         gatherers.keySet().forEach(name -> sentAway.put(name, true));
         var all = new LinkedHashMap<>(gatherers);
         all.putAll(twins);
@@ -568,10 +479,9 @@
                 try {
                     clients.close();
                     var all = new ArrayList<Future<?>>();
-                    servers.forEach(server -> all.add(server.close()));
+                    all.addAll(servers.close());
                     agents.values().forEach(agent -> all.add(agent.close()));
-                    letters.values().forEach(relays -> relays.forEach(relay -> all.add(relay.close())));
-                    streams.forEach(stream -> all.add(stream.close()));
+                    all.addAll(relays.close());
                     Future.join(all).onComplete(done -> closed.complete(null));
                 } catch (RuntimeException e) {
                     closed.completeExceptionally(e);
