Rename Purse to UnitLedger

The units of a bound that a gatherer holds, lends and borrows are kept in UnitLedger; a ledger is the field's name for it. No behaviour changes. Measured: all modules compile with their tests.

--- a/together/src/main/java/sprucehold/together/play/SharePlay.java
+++ b/together/src/main/java/sprucehold/together/play/SharePlay.java
@@ -12,7 +12,7 @@
 import sprucehold.together.share.Exchange;
 import sprucehold.together.share.OwnClock;
 import sprucehold.together.share.Permit;
-import sprucehold.together.share.Purse;
+import sprucehold.together.share.UnitLedger;
 
 /** A fleet that shares one bound, in simulated time: who wanted how much, who got it, and what any window saw at the most. */
 public final class SharePlay {
@@ -50,7 +50,7 @@
         final double rate;
         long life;
         OwnClock clock;
-        Purse purse;
+        UnitLedger ledger;
         Exchange exchange;
         /** What is to be done once it is no longer paused. */
         final List<Runnable> later = new ArrayList<>();
@@ -66,11 +66,11 @@
             clock = new OwnClock();
             read();
             var terms = division.terms(number, setting.members, setting.bound, setting.windowMs, setting.termMs, setting.drift);
-            purse = new Purse(name(number), life, terms, clock);
+            ledger = new UnitLedger(name(number), life, terms, clock);
             List<String> others = division == Division.LENT ? IntStream.range(0, setting.members).filter(one -> one != number)
                     .mapToObj(SharePlay::name).toList() : division == Division.COORDINATED && number != 0 ? List.of(name(0))
                     : List.of();
-            exchange = new Exchange("played", terms, purse, clock, life, others, new Random(chance.nextLong()));
+            exchange = new Exchange("played", terms, ledger, clock, life, others, new Random(chance.nextLong()));
         }
 
         void read() {
--- a/together/src/main/java/sprucehold/together/room/Growth.java
+++ b/together/src/main/java/sprucehold/together/room/Growth.java
@@ -4,7 +4,7 @@
 
 /**
  * What a bound grows by as a server warms up, this gatherer's equal part of it: its own for good, and never lent. A use counts
- * as long as one of a purse does, so that any window holds no more uses than there are units at its end.
+ * as long as one of a ledger does, so that any window holds no more uses than there are units at its end.
  */
 final class Growth {
     private record Used(double countsUntil, int units) {
--- a/together/src/main/java/sprucehold/together/share/Exchange.java
+++ b/together/src/main/java/sprucehold/together/share/Exchange.java
@@ -18,7 +18,7 @@
 /**
  * Moves units of one bound to where they are wanted: who runs short asks a few others, who has some to spare lends them, who
  * needs a loan no more gives it back. It decides only who holds what for how long; that no unit is used twice is
- * {@link Purse}'s matter and doesn't rest on anything here. Pure: time, messages and chance are handed in.
+ * {@link UnitLedger}'s matter and doesn't rest on anything here. Pure: time, messages and chance are handed in.
  */
 public final class Exchange {
     /** A message to a gatherer. */
@@ -40,7 +40,7 @@
 
     private final String bound;
     private final ShareTerms terms;
-    private final Purse purse;
+    private final UnitLedger ledger;
     private final OwnClock clock;
     private final long epoch;
     private final Random chance;
@@ -62,11 +62,11 @@
      * @param bound its name, the same at all
      * @param others who may be asked, in any order
      */
-    public Exchange(String bound, ShareTerms terms, Purse purse, OwnClock clock, long epoch, Collection<String> others,
+    public Exchange(String bound, ShareTerms terms, UnitLedger ledger, OwnClock clock, long epoch, Collection<String> others,
             Random chance) {
         this.bound = bound;
         this.terms = terms;
-        this.purse = purse;
+        this.ledger = ledger;
         this.clock = clock;
         this.epoch = epoch;
         this.chance = chance;
@@ -82,7 +82,7 @@
 
     /** Uses units if they are free, else returns null. A refusal is remembered as demand. */
     public Permit use(int units) {
-        Permit permit = purse.use(units);
+        Permit permit = ledger.use(units);
         refused += permit == null ? units : 0;
         return permit;
     }
@@ -99,7 +99,7 @@
 
     /** Units that should be here: what the last window used, what was refused since the last tick, and some to spare. */
     private int wanted() {
-        return Math.max(demand, (int) Math.ceil(SPARE * (purse.used() + refused)));
+        return Math.max(demand, (int) Math.ceil(SPARE * (ledger.used() + refused)));
     }
 
     /** Looks at what is wanted and held; to be called every {@link #TICK_MS}. */
@@ -116,15 +116,15 @@
         double slow = clock.slowMs();
         asked.values().removeIf(ask -> slow - ask.atSlow > ASK_MS);
         var out = new ArrayList<Out>();
-        int held = terms.home() - purse.lent() + purse.borrowed();
+        int held = terms.home() - ledger.lent() + ledger.borrowed();
         int missing = wanted() - held;
         if (missing > 0 && !others.isEmpty()) {
             ask(missing, whom.get(), out);
         } else if (missing < 0) {
-            purse.giveBack(-missing).forEach(loan -> out.add(new Out(loan.lender(), new ShareMessage.Return(loan))));
+            ledger.giveBack(-missing).forEach(loan -> out.add(new Out(loan.lender(), new ShareMessage.Return(loan))));
         }
         // Halfway: one that is lost on the way leaves time for another before the loan is over.
-        for (Loan loan : missing < 0 ? List.<Loan>of() : purse.endingWithin(terms.termMs() / 2)) {
+        for (Loan loan : missing < 0 ? List.<Loan>of() : ledger.endingWithin(terms.termMs() / 2)) {
             if (others.contains(loan.lender()) && asked.values().stream().noneMatch(ask -> loan.equals(ask.renews))) {
                 asked.put(requests, new Asked(loan.lender(), clock.fastMs(), slow, loan));
                 out.add(new Out(loan.lender(), new ShareMessage.Renew(epoch, requests++, loan)));
@@ -169,7 +169,7 @@
             if (ask != null && ask.renews == null && ask.of.equals(from) && grant.loan().lender().equals(from)) {
                 asked.remove(grant.request());
                 lenders.add(from);
-                if (!purse.take(grant.loan(), ask.atFast)) {
+                if (!ledger.take(grant.loan(), ask.atFast)) {
                     // Too late to be used, and so nothing of it was.
                     return List.of(new Out(from, new ShareMessage.Return(grant.loan())));
                 }
@@ -184,17 +184,17 @@
             // Not where it is wanted here by now; and every other time not where another was sent away of late, so that who has
             // become busy later isn't left with nothing by those who were there first.
             boolean passedOn = !from.equals(unmet) && clock.slowMs() - unmetAt < ASK_MS && chance.nextBoolean();
-            boolean renewed = !passedOn && purse.free() + purse.used() >= wanted() && purse.renew(from, renew.loan());
+            boolean renewed = !passedOn && ledger.free() + ledger.used() >= wanted() && ledger.renew(from, renew.loan());
             return List.of(new Out(from, renewed ? new ShareMessage.Renewed(renew.epoch(), renew.request(), renew.loan())
                     : new ShareMessage.Nothing(renew.epoch(), renew.request())));
         } else if (message instanceof ShareMessage.Renewed renewed && renewed.askerEpoch() == epoch) {
             Asked ask = asked.get(renewed.request());
             if (ask != null && ask.of.equals(from) && renewed.loan().equals(ask.renews)) {
                 asked.remove(renewed.request());
-                purse.renewed(ask.renews, ask.atFast);
+                ledger.renewed(ask.renews, ask.atFast);
             }
         } else if (message instanceof ShareMessage.Return back) {
-            purse.returned(from, back.loan());
+            ledger.returned(from, back.loan());
         }
         return List.of();
     }
@@ -211,11 +211,11 @@
         }
         answered.put(from, ask);
         // Where all hold less than is of use, all would ask and nobody lend: of two, one yields whatever it has.
-        boolean yields = terms.home() - purse.lent() + purse.borrowed() < piece && rank(from) < rank(purse.name());
+        boolean yields = terms.home() - ledger.lent() + ledger.borrowed() < piece && rank(from) < rank(ledger.name());
         // Else half of what can be spared: the next who asks finds some as well.
-        int spare = yields ? purse.free() : (purse.free() - wanted() + purse.used()) / 2;
-        Loan loan = ask.units() <= 0 ? null : purse.lend(from, Math.min(ask.units(), Math.max(spare, 0)),
-                yields ? 0 : Math.max(0, wanted() - purse.used()));
+        int spare = yields ? ledger.free() : (ledger.free() - wanted() + ledger.used()) / 2;
+        Loan loan = ask.units() <= 0 ? null : ledger.lend(from, Math.min(ask.units(), Math.max(spare, 0)),
+                yields ? 0 : Math.max(0, wanted() - ledger.used()));
         if (loan == null) {
             unmet = from;
             unmetAt = clock.slowMs();
--- a/together/src/main/java/sprucehold/together/share/Purse.java
+++ b/together/src/main/java/sprucehold/together/share/UnitLedger.java
@@ -15,10 +15,10 @@
  * over; so whatever messages are lost, doubled or late, and whoever dies, pauses or comes back, no span of a window sees
  * more uses than the sum of all homes. The proof stands in docs/together.md.
  *
- * <p>A life begins as if all had been used and lent the moment before: what an earlier one did is not known. A purse that a
+ * <p>A life begins as if all had been used and lent the moment before: what an earlier one did is not known. A ledger that a
  * life opens later, for a bound that has come up since, is free of that as far as what an earlier life can have done has lapsed.
  */
-public final class Purse {
+public final class UnitLedger {
     /** Units used at one moment. */
     private record Used(double countsUntil, int units) {
     }
@@ -52,12 +52,12 @@
      * @param epoch differs from that of each earlier life under this name
      * @param clock read before each call
      */
-    public Purse(String name, long epoch, ShareTerms terms, OwnClock clock) {
+    public UnitLedger(String name, long epoch, ShareTerms terms, OwnClock clock) {
         this(name, epoch, terms, clock, 0);
     }
 
-    /** @param lifeMs for how long this life has lasted by its slow clock, with no purse of this bound before */
-    public Purse(String name, long epoch, ShareTerms terms, OwnClock clock, double lifeMs) {
+    /** @param lifeMs for how long this life has lasted by its slow clock, with no ledger of this bound before */
+    public UnitLedger(String name, long epoch, ShareTerms terms, OwnClock clock, double lifeMs) {
         this.name = name;
         this.epoch = epoch;
         this.terms = terms;
@@ -109,7 +109,7 @@
     /** Units that may be used now. */
     public int free() {
         forgetThePast();
-        return freeHome() + borrowed.stream().mapToInt(Purse::free).sum();
+        return freeHome() + borrowed.stream().mapToInt(UnitLedger::free).sum();
     }
 
     /** Units of the home that are lent, or that an earlier life may have lent. */
--- a/together/src/main/java/sprucehold/together/talk/Talk.java
+++ b/together/src/main/java/sprucehold/together/talk/Talk.java
@@ -19,7 +19,7 @@
 import sprucehold.together.share.Exchange;
 import sprucehold.together.share.OwnClock;
 import sprucehold.together.share.Permit;
-import sprucehold.together.share.Purse;
+import sprucehold.together.share.UnitLedger;
 import sprucehold.together.share.ShareMessage;
 import sprucehold.together.share.ShareTerms;
 
@@ -56,14 +56,14 @@
     /** One bound, as this gatherer holds its part of it. */
     private static final class Holding {
         final ShareTerms terms;
-        final Purse purse;
+        final UnitLedger ledger;
         final Exchange exchange;
         /** Nobody uses or lends it any more; kept until what is out of it has lapsed. */
         boolean ending;
 
-        Holding(ShareTerms terms, Purse purse, Exchange exchange) {
+        Holding(ShareTerms terms, UnitLedger ledger, Exchange exchange) {
             this.terms = terms;
-            this.purse = purse;
+            this.ledger = ledger;
             this.exchange = exchange;
         }
     }
@@ -108,8 +108,8 @@
     }
 
     private void hold(String bound, ShareTerms terms) {
-        var purse = new Purse(name, life, terms, clock, clock.slowMs() - lifeAt);
-        holdings.put(bound, new Holding(terms, purse, new Exchange(bound, terms, purse, clock, life, there,
+        var ledger = new UnitLedger(name, life, terms, clock, clock.slowMs() - lifeAt);
+        holdings.put(bound, new Holding(terms, ledger, new Exchange(bound, terms, ledger, clock, life, there,
                 new Random(chance.nextLong()))));
     }
 
@@ -152,7 +152,7 @@
     public int free(double countedMs, double wallMs, String bound) {
         read(countedMs, wallMs);
         Holding holding = held(bound);
-        return holding == null || membership.superseded() ? 0 : holding.purse.free();
+        return holding == null || membership.superseded() ? 0 : holding.ledger.free();
     }
 
     private Holding held(String bound) {
@@ -191,7 +191,7 @@
 
     /** All bounds ask the same few, those who lent before first, so that what is asked of one goes in one letter. */
     private void shares(List<Out> out) {
-        holdings.values().removeIf(holding -> holding.ending && holding.purse.lent() == 0 && holding.purse.used() == 0);
+        holdings.values().removeIf(holding -> holding.ending && holding.ledger.lent() == 0 && holding.ledger.used() == 0);
         var whom = new LinkedHashSet<String>();
         holdings.values().forEach(holding -> holding.exchange.lenders().stream()
                 .limit(Math.max(0, Exchange.ASKS / 2 - whom.size())).forEach(whom::add));
@@ -375,8 +375,8 @@
     }
 
     private static Held held(Holding holding) {
-        return new Held(holding.terms.home(), holding.purse.lent(), holding.purse.borrowed(), holding.purse.used(),
-                holding.purse.free());
+        return new Held(holding.terms.home(), holding.ledger.lent(), holding.ledger.borrowed(), holding.ledger.used(),
+                holding.ledger.free());
     }
 
     public Status status(double countedMs, double wallMs) {
--- a/together/src/test/java/sprucehold/together/PurseExplorerTest.java
+++ b/together/src/test/java/sprucehold/together/UnitLedgerExplorerTest.java
@@ -15,7 +15,7 @@
 import sprucehold.together.share.Loan;
 import sprucehold.together.share.OwnClock;
 import sprucehold.together.share.Permit;
-import sprucehold.together.share.Purse;
+import sprucehold.together.share.UnitLedger;
 import sprucehold.together.share.ShareTerms;
 
 /**
@@ -24,7 +24,7 @@
  * drift apart and a wall clock that jumps. In no window may more than two uses be sent. A state is rebuilt by playing its
  * steps again, as the pure part is deterministic.
  */
-public class PurseExplorerTest {
+public class UnitLedgerExplorerTest {
     private static final double TICK_MS = 500;
     private static final double WINDOW_MS = 1000;
 
@@ -76,7 +76,7 @@
     private static final class Member {
         final int number;
         OwnClock clock;
-        Purse purse;
+        UnitLedger ledger;
         long epoch;
         double countedMs;
         double wallMs;
@@ -136,7 +136,7 @@
             member.clock = mutation == Mutation.CLOCKS_EXCHANGED ? new ExchangedClock() : new OwnClock();
             read(member);
             member.epoch++;
-            member.purse = new Purse("abc".substring(member.number, member.number + 1), member.epoch,
+            member.ledger = new UnitLedger("abc".substring(member.number, member.number + 1), member.epoch,
                     member.number < 2 ? lender : borrower, member.clock);
             member.pending = null;
             member.request = -1;
@@ -163,16 +163,16 @@
                 }
                 if (member.pending != null) {
                     steps.add("send " + i);
-                } else if (uses < most.uses && member.purse.free() > 0) {
+                } else if (uses < most.uses && member.ledger.free() > 0) {
                     steps.add("use " + i);
                 }
                 if (asks < most.asks && member.request < 0 && i != 0) {
                     steps.add("ask " + i);
                 }
-                if (returns < most.returns && member.purse.borrowed() > 0) {
+                if (returns < most.returns && member.ledger.borrowed() > 0) {
                     steps.add("return " + i);
                 }
-                if (renews < most.renews && !member.purse.endingWithin(1e9).isEmpty()) {
+                if (renews < most.renews && !member.ledger.endingWithin(1e9).isEmpty()) {
                     steps.add("renew " + i);
                 }
                 if (crashes < most.crashes && i == 0) {
@@ -226,24 +226,24 @@
                 case "renew" -> {
                     renews++;
                     Member member = members.get(of);
-                    member.renewing = member.purse.endingWithin(1e9).get(0);
+                    member.renewing = member.ledger.endingWithin(1e9).get(0);
                     member.renewAskedAt = member.clock.fastMs();
                     if (mutation == Mutation.RENEWED_BY_ITSELF) {
-                        member.purse.renewed(member.renewing, member.renewAskedAt);
+                        member.ledger.renewed(member.renewing, member.renewAskedAt);
                     }
                     under.add(new Message(of, 0, "renew", 0, member.renewing));
                 }
                 case "use" -> {
                     uses++;
-                    members.get(of).pending = members.get(of).purse.use(1);
+                    members.get(of).pending = members.get(of).ledger.use(1);
                 }
                 case "send" -> send(members.get(of));
                 case "return" -> {
                     returns++;
                     Member member = members.get(of);
-                    List<Loan> back = member.purse.giveBack(1);
+                    List<Loan> back = member.ledger.giveBack(1);
                     if (mutation == Mutation.USED_AFTER_RETURN) {
-                        back.forEach(loan -> member.purse.take(loan, member.clock.fastMs()));
+                        back.forEach(loan -> member.ledger.take(loan, member.clock.fastMs()));
                     }
                     back.forEach(loan -> under.add(new Message(of, 0, "return", 0, loan)));
                 }
@@ -276,27 +276,27 @@
             Member to = members.get(message.to);
             switch (message.what) {
                 case "ask" -> {
-                    Loan loan = to.purse.lend("" + message.from, 1, 0);
+                    Loan loan = to.ledger.lend("" + message.from, 1, 0);
                     if (loan != null) {
                         under.add(new Message(message.to, message.from, "grant", message.request, loan));
                     }
                 }
                 case "grant" -> {
                     if (to.request == message.request || mutation == Mutation.DOUBLED_GRANT_TAKEN_TWICE) {
-                        to.purse.take(message.loan, mutation == Mutation.TERM_FROM_RECEIPT ? to.clock.fastMs() : to.askedAt);
+                        to.ledger.take(message.loan, mutation == Mutation.TERM_FROM_RECEIPT ? to.clock.fastMs() : to.askedAt);
                         to.request = -1;
                     }
                 }
                 case "renew" -> {
-                    if (to.purse.renew("" + message.from, message.loan)) {
+                    if (to.ledger.renew("" + message.from, message.loan)) {
                         under.add(new Message(message.to, message.from, "renewed", 0, message.loan));
                     }
                 }
                 case "renewed" -> {
                     double from = mutation == Mutation.RENEWED_FROM_RECEIPT ? to.clock.fastMs() : to.renewAskedAt;
-                    to.purse.renewed(message.loan, from);
-                    if (mutation == Mutation.RENEWED_AFTER_RETURN && to.purse.borrowed() == 0) {
-                        to.purse.take(message.loan, from);
+                    to.ledger.renewed(message.loan, from);
+                    if (mutation == Mutation.RENEWED_AFTER_RETURN && to.ledger.borrowed() == 0) {
+                        to.ledger.take(message.loan, from);
                     }
                 }
                 case "return" -> {
@@ -304,7 +304,7 @@
                     if (mutation == Mutation.EPOCH_IGNORED) {
                         loan = new Loan(loan.lender(), to.epoch, loan.number(), loan.units());
                     }
-                    to.purse.returned("" + message.from, loan);
+                    to.ledger.returned("" + message.from, loan);
                 }
                 default -> throw new IllegalArgumentException(message.what);
             }
@@ -314,7 +314,7 @@
         String key() {
             var key = new StringBuilder();
             for (Member member : members) {
-                key.append(member.purse).append(member.pending == null ? "" : String.format(Locale.ROOT, " sends<%.0f",
+                key.append(member.ledger).append(member.pending == null ? "" : String.format(Locale.ROOT, " sends<%.0f",
                         member.pending.notAfterMs() - member.clock.fastMs())).append(member.request < 0 ? ""
                         : String.format(Locale.ROOT, " asked %d %.0f", member.request, member.clock.fastMs() - member.askedAt))
                         .append(" e").append(member.epoch).append(member.renewing == null ? "" : String.format(Locale.ROOT,
@@ -415,12 +415,12 @@
     public void onlyItsBorrowerGivesALoanBack() {
         var clock = new OwnClock();
         clock.read(0, 0);
-        var purse = new Purse("a", 1, new ShareTerms(2, 0, 1000, 20, 2000, 0), clock);
+        var ledger = new UnitLedger("a", 1, new ShareTerms(2, 0, 1000, 20, 2000, 0), clock);
         clock.read(1e5, 1e5);
-        Loan loan = purse.lend("b", 2, 0);
-        purse.returned("c", loan);
-        assertEquals(purse.free(), 0);
-        purse.returned("b", loan);
-        assertEquals(purse.free(), 2);
+        Loan loan = ledger.lend("b", 2, 0);
+        ledger.returned("c", loan);
+        assertEquals(ledger.free(), 0);
+        ledger.returned("b", loan);
+        assertEquals(ledger.free(), 2);
     }
 }
