--- a/gatherer/src/main/java/sprucehold/company/Company.java
+++ b/gatherer/src/main/java/sprucehold/company/Company.java
@@ -12,6 +12,8 @@
 import java.util.TreeMap;
 import java.util.function.BooleanSupplier;
 import java.util.logging.Logger;
+import sprucehold.messaging.PeerMessaging;
+import sprucehold.messaging.PeerMessagingSettings;
 import sprucehold.node.Clock;
 import sprucehold.node.Neighbour;
 import sprucehold.node.NodeConfig;
@@ -24,8 +26,6 @@
 import sprucehold.port.Bound;
 import sprucehold.port.Listing;
 import sprucehold.port.Others;
-import sprucehold.post.Post;
-import sprucehold.post.PostTerms;
 import sprucehold.together.member.News;
 import sprucehold.together.room.Leave;
 import sprucehold.together.room.RoomTerms;
@@ -52,7 +52,7 @@
     private final Clock clock;
     private final Talk talk;
     private final Rooms rooms;
-    private final Post post;
+    private final PeerMessaging messaging;
     private final String self;
     /** What the decisions believe, less what they have taken since. */
     private final Map<Bound, Integer> believed = new HashMap<>();
@@ -72,7 +72,7 @@
             throw new IllegalArgumentException("members: none is called " + self + ", as this gatherer is");
         }
         var sites = new TreeMap<String, String>();
-        var addresses = new TreeMap<String, PostTerms.Address>();
+        var addresses = new TreeMap<String, PeerMessagingSettings.Address>();
         plan.members().forEach((name, member) -> {
             sites.put(name, member.site());
             if (!name.equals(self)) {
@@ -86,7 +86,8 @@
         this.rooms = new Rooms(config.facts().deployment(), new RoomTerms(self, List.copyOf(plan.members().keySet()), plan.shared(),
                 plan.further(), plan.furtherWindowMs(), Math.min(PATIENCE_MS, config.facts().connections().dialTimeoutMs()),
                 plan.driftPpm() / 1e6, plan.clocksOffMs()), talk, counted, wall);
-        this.post = new Post(vertx, new PostTerms(self, own.listen().host(), own.listen().port(), addresses, plan.bytesPerS()),
+        this.messaging = new PeerMessaging(vertx,
+                new PeerMessagingSettings(self, own.listen().host(), own.listen().port(), addresses, plan.bytesPerS()),
                 clock::countedMs, this::read);
     }
 
@@ -97,7 +98,7 @@
 
     @Override
     public Future<Void> start() {
-        return post.open().map(port -> {
+        return messaging.open().map(port -> {
             LOG.info("talking with other gatherers at port " + port);
             timer = vertx.setPeriodic((long) talk.tickMs(), id -> tick());
             return null;
@@ -108,7 +109,7 @@
     public Future<Void> end() {
         vertx.cancelTimer(timer);
         send(talk.leave(clock.countedMs(), clock.wallMs()));
-        return post.close();
+        return messaging.close();
     }
 
     private void tick() {
@@ -140,7 +141,7 @@
     }
 
     private void send(List<Talk.Out> letters) {
-        letters.forEach(out -> post.send(out.to(), out.letter()));
+        letters.forEach(out -> messaging.send(out.to(), out.letter()));
     }
 
     // ---- The node ----
@@ -219,7 +220,7 @@
                 .put("lent", held.lent()).put("borrowed", held.borrowed()).put("used", held.used()).put("free", held.free()));
         ArrayNode trouble = node.putArray("trouble");
         last.trouble().forEach((server, share) -> trouble.addObject().put("server", server).put("trouble", share));
-        Post.Tally tally = post.tally();
+        PeerMessaging.Tally tally = messaging.tally();
         node.putObject("letters").put("sent", tally.sent()).put("received", tally.received())
                 .put("unsent", tally.unsent() + status.dropped()).put("foreign", tally.foreign()).put("unread", tally.unread());
         return node;
--- a/gatherer/src/main/java/sprucehold/company/CompanyPlan.java
+++ b/gatherer/src/main/java/sprucehold/company/CompanyPlan.java
@@ -18,8 +18,8 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
+import sprucehold.messaging.PeerMessagingSettings;
 import sprucehold.port.Bound;
-import sprucehold.post.PostTerms;
 
 /**
  * What an operator says of the gatherers that talk, from a JSON file of the form {@code deploy/together.schema.json}; the same
@@ -41,7 +41,7 @@
      * @param at where the others reach it
      * @param listen where it listens itself, the same where nothing stands between
      */
-    public record Member(String site, PostTerms.Address at, PostTerms.Address listen) {
+    public record Member(String site, PeerMessagingSettings.Address at, PeerMessagingSettings.Address listen) {
     }
 
     /** @throws IOException with all that is wrong with the file, in one line */
@@ -63,8 +63,8 @@
         int at = 0;
         for (JsonNode member : node.get("members")) {
             String name = member.get("name").asText();
-            PostTerms.Address address = address(file, "members[" + at + "].address", member.get("address").asText());
-            PostTerms.Address listen = member.has("listen")
+            PeerMessagingSettings.Address address = address(file, "members[" + at + "].address", member.get("address").asText());
+            PeerMessagingSettings.Address listen = member.has("listen")
                     ? address(file, "members[" + at + "].listen", member.get("listen").asText()) : address;
             if (members.put(name, new Member(member.path("site").asText(""), address, listen)) != null) {
                 throw new IOException(file + ", members[" + at + "].name: " + name + " stands twice; each name once was expected");
@@ -88,13 +88,13 @@
                 node.path("lettersPerS").asDouble(100), node.path("bytesPerS").asDouble(262_144));
     }
 
-    private static PostTerms.Address address(Path file, String path, String text) throws IOException {
+    private static PeerMessagingSettings.Address address(Path file, String path, String text) throws IOException {
         int colon = text.lastIndexOf(':');
         int port = Integer.parseInt(text.substring(colon + 1));
         if (port < 1 || port > 65_535) {
             throw new IOException(file + ", " + path + ": port " + port + "; 1 to 65535 was expected");
         }
-        return new PostTerms.Address(text.substring(0, colon), port);
+        return new PeerMessagingSettings.Address(text.substring(0, colon), port);
     }
 
     private static JsonSchema schema() throws IOException {
--- a/gatherer/src/main/java/sprucehold/post/Allowance.java
+++ b/gatherer/src/main/java/sprucehold/messaging/Allowance.java
@@ -1,4 +1,4 @@
-package sprucehold.post;
+package sprucehold.messaging;
 
 /** So much a second, and one second's saved up. */
 final class Allowance {
--- a/gatherer/src/main/java/sprucehold/post/Post.java
+++ b/gatherer/src/main/java/sprucehold/messaging/PeerMessaging.java
@@ -1,4 +1,4 @@
-package sprucehold.post;
+package sprucehold.messaging;
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
@@ -25,8 +25,8 @@
 import sprucehold.together.wire.Received;
 
 /** Takes letters to other gatherers and hands on those that come. On one event loop. */
-public final class Post {
-    private static final Logger LOG = Logger.getLogger(Post.class.getName());
+public final class PeerMessaging {
+    private static final Logger LOG = Logger.getLogger(PeerMessaging.class.getName());
     /**
      * So many datagrams are read in a second, some ten times what a hundred gatherers in trouble send one; the rest is dropped
      * unread. Guards against a flood that would keep the event loop from clients.
@@ -75,7 +75,7 @@
     }
 
     private final Vertx vertx;
-    private final PostTerms terms;
+    private final PeerMessagingSettings terms;
     private final Codec codec;
     private final DoubleSupplier clock;
     private final BiConsumer<String, Letter> reader;
@@ -93,7 +93,7 @@
      * @param clock counts milliseconds
      * @param reader takes who wrote a letter, and the letter
      */
-    public Post(Vertx vertx, PostTerms terms, DoubleSupplier clock, BiConsumer<String, Letter> reader) {
+    public PeerMessaging(Vertx vertx, PeerMessagingSettings terms, DoubleSupplier clock, BiConsumer<String, Letter> reader) {
         this.vertx = vertx;
         this.terms = terms;
         this.codec = new Codec(terms.self());
@@ -106,7 +106,7 @@
     /** Opens it; fails in one line if the address can't be had. Returns the port. */
     public Future<Integer> open() {
         datagrams = vertx.createDatagramSocket();
-        datagrams.exceptionHandler(failure -> LOG.log(Level.FINE, "post", failure));
+        datagrams.exceptionHandler(failure -> LOG.log(Level.FINE, "peer messaging", failure));
         server = vertx.createNetServer(new NetServerOptions().setIdleTimeout(STREAM_S)).connectHandler(this::accepted);
         return datagrams.handler(this::came).listen(terms.port(), terms.host()).compose(open -> {
             int port = open.localAddress().port();
@@ -129,7 +129,7 @@
 
     /** Sends a letter; it may get lost like any datagram, and nobody is told. */
     public void send(String to, Letter letter) {
-        PostTerms.Address at = terms.others().get(to);
+        PeerMessagingSettings.Address at = terms.others().get(to);
         byte[] bytes = at == null ? null : codec.write(to, letter, codec.common(versions.getOrDefault(to, codec.lowest())));
         if (bytes == null || !writes.take(clock.getAsDouble(), bytes.length)) {
             tally.unsent++;
@@ -137,10 +137,10 @@
         }
         tally.sent++;
         if (bytes.length <= Codec.MOST_BYTES) {
-            datagrams.send(Buffer.buffer(bytes), at.port(), at.host()).onFailure(failure -> LOG.log(Level.FINE, "post", failure));
+            datagrams.send(Buffer.buffer(bytes), at.port(), at.host()).onFailure(failure -> LOG.log(Level.FINE, "peer messaging", failure));
         } else {
             client.connect(SocketAddress.inetSocketAddress(at.port(), at.host())).onComplete(socket -> {
-                socket.exceptionHandler(failure -> LOG.log(Level.FINE, "post", failure));
+                socket.exceptionHandler(failure -> LOG.log(Level.FINE, "peer messaging", failure));
                 socket.write(Buffer.buffer(4 + bytes.length).appendInt(bytes.length).appendBytes(bytes))
                         .onComplete(written -> socket.close());
             }, failure -> tally.unsent++);
@@ -169,7 +169,7 @@
         // Counted from the first byte to the last: one that trickles must not hold its place.
         long late = vertx.setTimer(1000L * STREAM_S, none -> socket.close());
         var bytes = Buffer.buffer();
-        socket.exceptionHandler(failure -> LOG.log(Level.FINE, "post", failure));
+        socket.exceptionHandler(failure -> LOG.log(Level.FINE, "peer messaging", failure));
         socket.closeHandler(none -> {
             vertx.cancelTimer(late);
             streams.remove(socket);
--- a/gatherer/src/main/java/sprucehold/post/PostTerms.java
+++ b/gatherer/src/main/java/sprucehold/messaging/PeerMessagingSettings.java
@@ -1,4 +1,4 @@
-package sprucehold.post;
+package sprucehold.messaging;
 
 import java.util.Map;
 
@@ -11,12 +11,12 @@
  * @param others where each other gatherer is reached, by its name
  * @param bytesPerS so many bytes leave in a second at the most; what is beyond is dropped, as the network may do anyway
  */
-public record PostTerms(String self, String host, int port, Map<String, Address> others, double bytesPerS) {
+public record PeerMessagingSettings(String self, String host, int port, Map<String, Address> others, double bytesPerS) {
     /** A host by its address, and a port. */
     public record Address(String host, int port) {
     }
 
-    public PostTerms {
+    public PeerMessagingSettings {
         others = Map.copyOf(others);
     }
 }
--- a/gatherer/src/test/java/sprucehold/company/CompanyPlanTest.java
+++ b/gatherer/src/test/java/sprucehold/company/CompanyPlanTest.java
@@ -10,8 +10,8 @@
 import java.util.Set;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
+import sprucehold.messaging.PeerMessagingSettings;
 import sprucehold.port.Bound;
-import sprucehold.post.PostTerms;
 
 public class CompanyPlanTest {
     private static CompanyPlan read(String text) throws IOException {
@@ -27,9 +27,9 @@
     public void whatIsNotSaidHasItsDefault() throws IOException {
         CompanyPlan plan = read("{\"members\":[{\"name\":\"a\",\"address\":\"10.0.0.1:8700\"},"
                 + "{\"name\":\"b\",\"site\":\"y\",\"address\":\"10.0.0.2:8700\",\"listen\":\"0.0.0.0:9\"}]}");
-        assertEquals(plan.members().get("a"), new CompanyPlan.Member("", new PostTerms.Address("10.0.0.1", 8700),
-                new PostTerms.Address("10.0.0.1", 8700)));
-        assertEquals(plan.members().get("b").listen(), new PostTerms.Address("0.0.0.0", 9));
+        assertEquals(plan.members().get("a"), new CompanyPlan.Member("", new PeerMessagingSettings.Address("10.0.0.1", 8700),
+                new PeerMessagingSettings.Address("10.0.0.1", 8700)));
+        assertEquals(plan.members().get("b").listen(), new PeerMessagingSettings.Address("0.0.0.0", 9));
         assertEquals(plan.shared(), Set.of(Bound.Kind.COLD));
     }
 
--- a/gatherer/src/test/java/sprucehold/post/PostTest.java
+++ b/gatherer/src/test/java/sprucehold/messaging/PeerMessagingTest.java
@@ -1,4 +1,4 @@
-package sprucehold.post;
+package sprucehold.messaging;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
@@ -38,7 +38,7 @@
 import sprucehold.together.wire.Codec;
 
 /** Letters over sockets, and whatever else may come to where they come. */
-public class PostTest {
+public class PeerMessagingTest {
     private static final int WITHIN_S = 10;
     private static final String HERE = "127.0.0.1";
     private static final Letter PING = new Letter.OfMembers(new MemberMessage.Ping(1, List.of()));
@@ -49,8 +49,8 @@
     private Vertx vertx;
     private int portA;
     private int portB;
-    private Post a;
-    private Post b;
+    private PeerMessaging a;
+    private PeerMessaging b;
     private volatile double now;
     private final BlockingQueue<Came> toA = new LinkedBlockingQueue<>();
     private final BlockingQueue<Came> toB = new LinkedBlockingQueue<>();
@@ -75,13 +75,13 @@
         toB.clear();
         portA = free();
         portB = free();
-        a = post("a", portA, Map.of("b", new PostTerms.Address(HERE, portB)), toA);
-        b = post("b", portB, Map.of("a", new PostTerms.Address(HERE, portA)), toB);
+        a = post("a", portA, Map.of("b", new PeerMessagingSettings.Address(HERE, portB)), toA);
+        b = post("b", portB, Map.of("a", new PeerMessagingSettings.Address(HERE, portA)), toB);
     }
 
-    private Post post(String self, int port, Map<String, PostTerms.Address> others, BlockingQueue<Came> into) throws Exception {
+    private PeerMessaging post(String self, int port, Map<String, PeerMessagingSettings.Address> others, BlockingQueue<Came> into) throws Exception {
         return on(() -> {
-            var post = new Post(vertx, new PostTerms(self, HERE, port, others, 100_000), () -> now,
+            var post = new PeerMessaging(vertx, new PeerMessagingSettings(self, HERE, port, others, 100_000), () -> now,
                     (from, letter) -> into.add(new Came(from, letter)));
             return post.open().map(post);
         });
@@ -98,7 +98,7 @@
         return done.get(WITHIN_S, TimeUnit.SECONDS);
     }
 
-    private void send(Post from, String to, Letter letter) throws Exception {
+    private void send(PeerMessaging from, String to, Letter letter) throws Exception {
         on(() -> {
             from.send(to, letter);
             return Future.succeededFuture();
@@ -264,7 +264,7 @@
     public void aReaderThatFailsEndsNothing() throws Exception {
         int port = free();
         var came = new LinkedBlockingQueue<Came>();
-        on(() -> new Post(vertx, new PostTerms("c", HERE, port, Map.of("a", new PostTerms.Address(HERE, portA)), 1e6), () -> now,
+        on(() -> new PeerMessaging(vertx, new PeerMessagingSettings("c", HERE, port, Map.of("a", new PeerMessagingSettings.Address(HERE, portA)), 1e6), () -> now,
                 (from, letter) -> {
                     came.add(new Came(from, letter));
                     throw new IllegalStateException("scripted");
@@ -281,7 +281,7 @@
     @Test
     public void anAddressThatIsTakenIsOneClearError() throws Exception {
         var failed = new CompletableFuture<String>();
-        vertx.runOnContext(none -> new Post(vertx, new PostTerms("d", HERE, portB, Map.of(), 1e6), () -> now, (from, letter) -> { })
+        vertx.runOnContext(none -> new PeerMessaging(vertx, new PeerMessagingSettings("d", HERE, portB, Map.of(), 1e6), () -> now, (from, letter) -> { })
                 .open().onComplete(open -> failed.complete("opened"), why -> failed.complete(why.getMessage())));
         assertTrue(failed.get(WITHIN_S, TimeUnit.SECONDS).contains("in use"), failed.get());
     }
