Rename Company to ClusterMember and its package to cluster

CompanyPlan is ClusterConfig, the rig's CompanyFile is ClusterFile. No behaviour, setting or wire form changes.

--- a/cli/src/main/java/sprucehold/cli/TogetherCommand.java
+++ b/cli/src/main/java/sprucehold/cli/TogetherCommand.java
@@ -11,7 +11,7 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
-import sprucehold.company.CompanyPlan;
+import sprucehold.cluster.ClusterConfig;
 import sprucehold.port.Bound;
 
 /** What gatherers know together. */
@@ -101,10 +101,10 @@
 
         @Override
         public Integer call() throws IOException {
-            CompanyPlan plan = CompanyPlan.read(file);
+            ClusterConfig plan = ClusterConfig.read(file);
             Map<String, Object> what = new LinkedHashMap<>();
             what.put("gatherers", plan.members().size());
-            what.put("sites", plan.members().values().stream().map(CompanyPlan.Member::site).distinct().count());
+            what.put("sites", plan.members().values().stream().map(ClusterConfig.Member::site).distinct().count());
             what.put("cold_servers", plan.shared().contains(Bound.Kind.COLD) ? "shared" : "each alone");
             what.put("customers_shares", plan.shared().contains(Bound.Kind.CUSTOMER) ? "shared" : "each alone");
             what.put("further_dispatches", plan.shared().contains(Bound.Kind.FURTHER)
--- a/cli/src/test/java/sprucehold/ArchitectureTest.java
+++ b/cli/src/test/java/sprucehold/ArchitectureTest.java
@@ -24,7 +24,7 @@
     private static final String[] STANDIN = {"sprucehold.standin.."};
     private static final String[] GATHERER = {"sprucehold.node..", "sprucehold.clients..", "sprucehold.shards..",
         "sprucehold.discovery..", "sprucehold.drill..", "sprucehold.door..", "sprucehold.command..", "sprucehold.messaging..",
-        "sprucehold.company..", "sprucehold.sockets.."};
+        "sprucehold.cluster..", "sprucehold.sockets.."};
     private static final String[] RIG = {"sprucehold.rig.."};
     private static final String[] CLI = {"sprucehold.cli.."};
 
@@ -54,7 +54,7 @@
                     .callMethod(System.class, "nanoTime").orShould().callMethod(System.class, "currentTimeMillis")},
             {"the node knows no neighbour by name", noClasses().that().resideInAnyPackage("sprucehold.node..", "sprucehold.clients..",
                     "sprucehold.shards..", "sprucehold.discovery..", "sprucehold.door..", "sprucehold.drill..").should()
-                    .dependOnClassesThat().resideInAnyPackage("sprucehold.company..", "sprucehold.messaging..", "sprucehold.together..")},
+                    .dependOnClassesThat().resideInAnyPackage("sprucehold.cluster..", "sprucehold.messaging..", "sprucehold.together..")},
             {"nothing that serves loads a fleet in simulated time", noClasses().that().resideOutsideOfPackages(
                     "sprucehold.together.play..").should().dependOnClassesThat().resideInAPackage("sprucehold.together.play..")},
             {"changes are decided without files, clocks or threads", noClasses().that()
--- a/gatherer/src/main/java/sprucehold/company/CompanyPlan.java
+++ b/gatherer/src/main/java/sprucehold/cluster/ClusterConfig.java
@@ -1,4 +1,4 @@
-package sprucehold.company;
+package sprucehold.cluster;
 
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
@@ -32,7 +32,7 @@
  * @param clocksOffMs how far any two wall clocks may be apart, in milliseconds
  * @param lettersPerS so many letters leave a gatherer in a second at the most; {@code bytesPerS} likewise
  */
-public record CompanyPlan(Map<String, Member> members, Set<Bound.Kind> shared, int further, double furtherWindowMs,
+public record ClusterConfig(Map<String, Member> members, Set<Bound.Kind> shared, int further, double furtherWindowMs,
         double driftPpm, double clocksOffMs, double lettersPerS, double bytesPerS) {
 
     /**
@@ -45,7 +45,7 @@
     }
 
     /** @throws IOException with all that is wrong with the file, in one line */
-    public static CompanyPlan read(Path file) throws IOException {
+    public static ClusterConfig read(Path file) throws IOException {
         JsonNode node;
         try {
             node = JsonMapper.builder().enable(JsonParser.Feature.STRICT_DUPLICATE_DETECTION)
@@ -83,7 +83,7 @@
         if (!further.isMissingNode()) {
             shared.add(Bound.Kind.FURTHER);
         }
-        return new CompanyPlan(members, shared, further.path("dispatches").asInt(0), further.path("windowMs").asDouble(1000),
+        return new ClusterConfig(members, shared, further.path("dispatches").asInt(0), further.path("windowMs").asDouble(1000),
                 node.path("driftPpm").asDouble(500), node.path("clocksOffMs").asDouble(5000),
                 node.path("lettersPerS").asDouble(100), node.path("bytesPerS").asDouble(262_144));
     }
@@ -98,7 +98,7 @@
     }
 
     private static JsonSchema schema() throws IOException {
-        try (InputStream in = CompanyPlan.class.getResourceAsStream("/together.schema.json")) {
+        try (InputStream in = ClusterConfig.class.getResourceAsStream("/together.schema.json")) {
             return JsonSchemaFactory.getInstance(SpecVersion.VersionFlag.V202012).getSchema(in);
         }
     }
--- a/gatherer/src/main/java/sprucehold/company/Company.java
+++ b/gatherer/src/main/java/sprucehold/cluster/ClusterMember.java
@@ -1,4 +1,4 @@
-package sprucehold.company;
+package sprucehold.cluster;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -35,8 +35,8 @@
 import sprucehold.together.talk.TalkTerms;
 
 /** One gatherer among others: what happens at its node goes into what they know together, and what comes of that into the node. */
-public final class Company implements Neighbour {
-    private static final Logger LOG = Logger.getLogger(Company.class.getName());
+public final class ClusterMember implements Neighbour {
+    private static final Logger LOG = Logger.getLogger(ClusterMember.class.getName());
     /** A rate heard from another counts half after so long: about what a flood takes to come or go. */
     private static final double COUNT_HALF_MS = 5000;
     /**
@@ -63,11 +63,11 @@
     private boolean cutOff;
 
     /** @throws IllegalArgumentException in one line if the plan doesn't name this gatherer */
-    public Company(Vertx vertx, NodeConfig config, Clock clock, CompanyPlan plan) {
+    public ClusterMember(Vertx vertx, NodeConfig config, Clock clock, ClusterConfig plan) {
         this.vertx = vertx;
         this.clock = clock;
         this.self = config.name();
-        CompanyPlan.Member own = plan.members().get(self);
+        ClusterConfig.Member own = plan.members().get(self);
         if (own == null) {
             throw new IllegalArgumentException("members: none is called " + self + ", as this gatherer is");
         }
@@ -156,7 +156,7 @@
         double counted = clock.countedMs();
         double wall = clock.wallMs();
         if (report instanceof Report.ListCame list) {
-            rooms.listed(counted, wall, list.complete(), list.servers().stream().map(Company::listing).toList());
+            rooms.listed(counted, wall, list.complete(), list.servers().stream().map(ClusterMember::listing).toList());
         } else if (report instanceof Report.DispatchEnded ended) {
             boolean calledOff = ended.outcome() instanceof Outcome.Cancelled;
             // What was given up before its time tells nothing of the server.
--- a/gatherer/src/main/java/sprucehold/command/Talking.java
+++ b/gatherer/src/main/java/sprucehold/command/Talking.java
@@ -2,8 +2,8 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
-import sprucehold.company.Company;
-import sprucehold.company.CompanyPlan;
+import sprucehold.cluster.ClusterConfig;
+import sprucehold.cluster.ClusterMember;
 import sprucehold.node.Neighbour;
 
 /** Talk among gatherers; loaded only where an operator has switched it on. */
@@ -12,10 +12,10 @@
     }
 
     static Neighbour.Factory read(Path file) throws IOException {
-        CompanyPlan plan = CompanyPlan.read(file);
+        ClusterConfig plan = ClusterConfig.read(file);
         return (vertx, config, clock) -> {
             try {
-                return new Company(vertx, config, clock, plan);
+                return new ClusterMember(vertx, config, clock, plan);
             } catch (IllegalArgumentException e) {
                 throw new IllegalArgumentException(file + ": " + e.getMessage(), e);
             }
--- a/gatherer/src/test/java/sprucehold/company/CompanyPlanTest.java
+++ b/gatherer/src/test/java/sprucehold/cluster/ClusterConfigTest.java
@@ -1,4 +1,4 @@
-package sprucehold.company;
+package sprucehold.cluster;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
@@ -13,11 +13,11 @@
 import sprucehold.messaging.PeerMessagingSettings;
 import sprucehold.port.Bound;
 
-public class CompanyPlanTest {
-    private static CompanyPlan read(String text) throws IOException {
+public class ClusterConfigTest {
+    private static ClusterConfig read(String text) throws IOException {
         Path file = Files.createTempFile("together", ".json");
         try {
-            return CompanyPlan.read(Files.writeString(file, text));
+            return ClusterConfig.read(Files.writeString(file, text));
         } finally {
             Files.delete(file);
         }
@@ -25,9 +25,9 @@
 
     @Test
     public void whatIsNotSaidHasItsDefault() throws IOException {
-        CompanyPlan plan = read("{\"members\":[{\"name\":\"a\",\"address\":\"10.0.0.1:8700\"},"
+        ClusterConfig plan = read("{\"members\":[{\"name\":\"a\",\"address\":\"10.0.0.1:8700\"},"
                 + "{\"name\":\"b\",\"site\":\"y\",\"address\":\"10.0.0.2:8700\",\"listen\":\"0.0.0.0:9\"}]}");
-        assertEquals(plan.members().get("a"), new CompanyPlan.Member("", new PeerMessagingSettings.Address("10.0.0.1", 8700),
+        assertEquals(plan.members().get("a"), new ClusterConfig.Member("", new PeerMessagingSettings.Address("10.0.0.1", 8700),
                 new PeerMessagingSettings.Address("10.0.0.1", 8700)));
         assertEquals(plan.members().get("b").listen(), new PeerMessagingSettings.Address("0.0.0.0", 9));
         assertEquals(plan.shared(), Set.of(Bound.Kind.COLD));
@@ -35,7 +35,7 @@
 
     @Test
     public void theFileThatShipsIsSound() throws IOException {
-        CompanyPlan plan = CompanyPlan.read(Path.of("../deploy/together.json"));
+        ClusterConfig plan = ClusterConfig.read(Path.of("../deploy/together.json"));
         assertEquals(plan.members().size(), 3);
         assertEquals(plan.further(), 60);
     }
--- a/rig/src/main/java/sprucehold/rig/process/CompanyFile.java
+++ b/rig/src/main/java/sprucehold/rig/process/ClusterFile.java
@@ -7,8 +7,8 @@
 import sprucehold.rig.script.Script;
 
 /** What a gatherer is told of the others, by deploy/together.schema.json: each is met behind a relay of its own. */
-public final class CompanyFile {
-    private CompanyFile() {
+public final class ClusterFile {
+    private ClusterFile() {
     }
 
     /** @param listen the address at which it hears them itself */
--- a/rig/src/main/java/sprucehold/rig/run/Run.java
+++ b/rig/src/main/java/sprucehold/rig/run/Run.java
@@ -33,7 +33,7 @@
 import sprucehold.rig.plan.Addresses;
 import sprucehold.rig.plan.Plan;
 import sprucehold.rig.plan.Planner;
-import sprucehold.rig.process.CompanyFile;
+import sprucehold.rig.process.ClusterFile;
 import sprucehold.rig.process.GathererProcess;
 import sprucehold.rig.process.Guardian;
 import sprucehold.rig.process.Home;
@@ -237,7 +237,7 @@
             Files.writeString(folder.file(file + ".json"), NodeConfigFile.json(script, gatherer, at + ":" + addresses.gathererPort(),
                     addresses.discovery(number) + ":" + addresses.discoveryPort(), agents.get(gatherer.name()).known()));
             if (script.together() != null) {
-                Files.writeString(folder.file(file + ".together.json"), CompanyFile.json(script, plan, addresses, number, at));
+                Files.writeString(folder.file(file + ".together.json"), ClusterFile.json(script, plan, addresses, number, at));
             }
         } catch (IOException e) {
             return Future.failedFuture(e);
