--- a/cli/src/main/java/sprucehold/cli/DoorCall.java
+++ b/cli/src/main/java/sprucehold/cli/AdminCall.java
@@ -12,7 +12,7 @@
 import java.time.Duration;
 
 /** Calls a gatherer's door. */
-final class DoorCall {
+final class AdminCall {
     private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final HttpClient CLIENT = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1)
             .connectTimeout(Duration.ofSeconds(5)).build();
@@ -20,7 +20,7 @@
     private final String token;
 
     /** @param tokenFile holds what the door wants to be shown */
-    DoorCall(String door, Path tokenFile) throws IOException {
+    AdminCall(String door, Path tokenFile) throws IOException {
         this.door = door;
         this.token = Files.readString(tokenFile).strip();
     }
--- a/cli/src/main/java/sprucehold/cli/ChangeCommand.java
+++ b/cli/src/main/java/sprucehold/cli/ChangeCommand.java
@@ -117,7 +117,7 @@
         private boolean json;
 
         JsonNode call(String method, String path, JsonNode body) throws IOException {
-            return new DoorCall(door, tokenFile).call(method, path, body);
+            return new AdminCall(door, tokenFile).call(method, path, body);
         }
 
         Integer print(JsonNode answer) {
--- a/cli/src/main/java/sprucehold/cli/RolloutCommand.java
+++ b/cli/src/main/java/sprucehold/cli/RolloutCommand.java
@@ -23,8 +23,8 @@
 import sprucehold.change.document.Document;
 import sprucehold.change.document.DocumentReader;
 import sprucehold.change.rollout.Rollout;
-import sprucehold.change.rollout.RolloutState;
 import sprucehold.change.rollout.RolloutState.Standing;
+import sprucehold.change.rollout.RolloutState;
 
 /** Brings a change to many gatherers, in waves. */
 @Command(name = "rollout", description = "Brings a document to many gatherers in waves; halted and taken back where one "
@@ -121,8 +121,8 @@
         Files.move(beside, file, StandardCopyOption.ATOMIC_MOVE);
     }
 
-    private DoorCall door(String at) throws IOException {
-        return new DoorCall(at, tokenFile);
+    private AdminCall door(String at) throws IOException {
+        return new AdminCall(at, tokenFile);
     }
 
     private List<Rollout.RolloutAction> propose(Rollout rollout, String gatherer, String id) {
@@ -138,7 +138,7 @@
             JsonNode answer = door(gatherer).call("POST", "/change/propose", body);
             versions.put(gatherer, answer.path("version").longValue());
             return rollout.answered(gatherer, Standing.WATCHED, "");
-        } catch (DoorCall.TurnedDownException e) {
+        } catch (AdminCall.TurnedDownException e) {
             return rollout.answered(gatherer, Standing.TURNED_DOWN, e.getMessage());
         } catch (IOException e) {
             return List.of();
@@ -151,7 +151,7 @@
             try {
                 versions.put(gatherer, door(gatherer).call("GET", "/change/proposal/" + id, null).path("version")
                         .longValue());
-            } catch (DoorCall.TurnedDownException e) {
+            } catch (AdminCall.TurnedDownException e) {
                 return -1;
             }
         }
@@ -181,7 +181,7 @@
     private long backAt(String gatherer, String id) throws IOException {
         try {
             return door(gatherer).call("GET", "/change/proposal/" + id + "-back", null).path("version").longValue();
-        } catch (DoorCall.TurnedDownException e) {
+        } catch (AdminCall.TurnedDownException e) {
             return -1;
         }
     }
--- a/cli/src/main/java/sprucehold/cli/TogetherCommand.java
+++ b/cli/src/main/java/sprucehold/cli/TogetherCommand.java
@@ -37,8 +37,8 @@
         public Integer call() throws IOException {
             JsonNode status;
             try {
-                status = new DoorCall(door, tokenFile).call("GET", "/status/together", null);
-            } catch (DoorCall.TurnedDownException e) {
+                status = new AdminCall(door, tokenFile).call("GET", "/status/together", null);
+            } catch (AdminCall.TurnedDownException e) {
                 throw new IOException(e.getMessage().equals("no such path")
                         ? "that gatherer doesn't talk with others: it was started without --together" : e.getMessage(), e);
             }
--- a/cli/src/test/java/sprucehold/ArchitectureTest.java
+++ b/cli/src/test/java/sprucehold/ArchitectureTest.java
@@ -23,7 +23,7 @@
     private static final String[] TOGETHER = {"sprucehold.together.."};
     private static final String[] STANDIN = {"sprucehold.standin.."};
     private static final String[] GATHERER = {"sprucehold.node..", "sprucehold.clients..", "sprucehold.shards..",
-        "sprucehold.discovery..", "sprucehold.drill..", "sprucehold.door..", "sprucehold.command..", "sprucehold.messaging..",
+        "sprucehold.discovery..", "sprucehold.drill..", "sprucehold.admin..", "sprucehold.command..", "sprucehold.messaging..",
         "sprucehold.cluster..", "sprucehold.sockets.."};
     private static final String[] RIG = {"sprucehold.rig.."};
     private static final String[] CLI = {"sprucehold.cli.."};
@@ -53,7 +53,7 @@
                         "java.nio.file..", "java.nio.channels..", "java.util.concurrent..", "java.time..", "io.vertx.."})).orShould()
                     .callMethod(System.class, "nanoTime").orShould().callMethod(System.class, "currentTimeMillis")},
             {"the node knows no neighbour by name", noClasses().that().resideInAnyPackage("sprucehold.node..", "sprucehold.clients..",
-                    "sprucehold.shards..", "sprucehold.discovery..", "sprucehold.door..", "sprucehold.drill..").should()
+                    "sprucehold.shards..", "sprucehold.discovery..", "sprucehold.admin..", "sprucehold.drill..").should()
                     .dependOnClassesThat().resideInAnyPackage("sprucehold.cluster..", "sprucehold.messaging..", "sprucehold.together..")},
             {"nothing that serves loads a fleet in simulated time", noClasses().that().resideOutsideOfPackages(
                     "sprucehold.together.play..").should().dependOnClassesThat().resideInAPackage("sprucehold.together.play..")},
--- a/gatherer/src/main/java/sprucehold/door/DoorPlan.java
+++ b/gatherer/src/main/java/sprucehold/admin/AdminConfig.java
@@ -1,4 +1,4 @@
-package sprucehold.door;
+package sprucehold.admin;
 
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
@@ -25,12 +25,12 @@
  * @param watchMs how long service has to hold before a version is confirmed
  * @param leastScans and how many scans have to be seen
  */
-public record DoorPlan(String host, int port, String token, Path journal, double watchMs, long leastScans) {
+public record AdminConfig(String host, int port, String token, Path journal, double watchMs, long leastScans) {
     /** A shorter one could be tried out. */
     private static final int LEAST_TOKEN_LETTERS = 16;
 
     /** @throws IOException with all that is wrong with the file, in one line */
-    public static DoorPlan read(Path file) throws IOException {
+    public static AdminConfig read(Path file) throws IOException {
         JsonNode node;
         try {
             node = JsonMapper.builder().enable(JsonParser.Feature.STRICT_DUPLICATE_DETECTION)
@@ -52,7 +52,7 @@
             throw new IOException(tokenFile + ": a token of " + token.length() + " letters; at least "
                     + LEAST_TOKEN_LETTERS + " were expected");
         }
-        return new DoorPlan(listen.substring(0, colon), Integer.parseInt(listen.substring(colon + 1)), token,
+        return new AdminConfig(listen.substring(0, colon), Integer.parseInt(listen.substring(colon + 1)), token,
                 node.has("journal") ? beside(file, node.get("journal").asText()) : null,
                 node.path("watchSeconds").asDouble(120) * 1000, node.path("leastScans").asLong(100));
     }
@@ -62,7 +62,7 @@
     }
 
     private static JsonSchema schema() throws IOException {
-        try (InputStream in = DoorPlan.class.getResourceAsStream("/door.schema.json")) {
+        try (InputStream in = AdminConfig.class.getResourceAsStream("/door.schema.json")) {
             return JsonSchemaFactory.getInstance(SpecVersion.VersionFlag.V202012).getSchema(in);
         }
     }
--- a/gatherer/src/main/java/sprucehold/door/Door.java
+++ b/gatherer/src/main/java/sprucehold/admin/AdminServer.java
@@ -1,4 +1,4 @@
-package sprucehold.door;
+package sprucehold.admin;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -20,8 +20,8 @@
 import java.security.NoSuchAlgorithmException;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Set;
 import java.util.function.Supplier;
 import java.util.logging.Logger;
@@ -35,9 +35,9 @@
 import sprucehold.change.line.Version;
 import sprucehold.change.line.VersionLine;
 
-/** The HTTP server of the door: one JSON object in, one out. */
-public final class Door {
-    private static final Logger LOG = Logger.getLogger(Door.class.getName());
+/** The HTTP server for operators ({@code --door}): one JSON object in, one out. */
+public final class AdminServer {
+    private static final Logger LOG = Logger.getLogger(AdminServer.class.getName());
     /** Operators are few; a door that is flooded must not take the descriptors that clients need. */
     private static final int MOST_CONNECTIONS = 16;
     /** A proposal's document and what stands round it. */
@@ -56,7 +56,7 @@
     private HttpServer server;
 
     /** @param views what may be seen of what stands beside the node, at {@code /status/} and the name of each */
-    public Door(Vertx vertx, String token, Map<String, Supplier<JsonNode>> views, ChangeDesk desk) {
+    public AdminServer(Vertx vertx, String token, Map<String, Supplier<JsonNode>> views, ChangeDesk desk) {
         this.vertx = vertx;
         this.views = views;
         this.desk = desk;
--- a/gatherer/src/main/java/sprucehold/door/ChangeDesk.java
+++ b/gatherer/src/main/java/sprucehold/admin/ChangeDesk.java
@@ -1,4 +1,4 @@
-package sprucehold.door;
+package sprucehold.admin;
 
 import java.util.List;
 import sprucehold.change.document.Document;
--- a/gatherer/src/main/java/sprucehold/command/Main.java
+++ b/gatherer/src/main/java/sprucehold/command/Main.java
@@ -5,17 +5,17 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.Callable;
-import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.IVersionProvider;
 import picocli.CommandLine.Option;
+import picocli.CommandLine;
+import sprucehold.admin.AdminConfig;
 import sprucehold.brain.Brain;
-import sprucehold.door.DoorPlan;
 import sprucehold.drill.Drill;
 import sprucehold.node.JsonLines;
 import sprucehold.node.Neighbour;
-import sprucehold.node.Rehearsal;
 import sprucehold.node.NodeConfig;
+import sprucehold.node.Rehearsal;
 import sprucehold.node.Service;
 import sprucehold.node.ServiceLogManager;
 
@@ -164,7 +164,7 @@
                 JsonLines.logScans();
             }
             NodeConfig config = place.config();
-            DoorPlan plan = door == null ? null : DoorPlan.read(door);
+            AdminConfig plan = door == null ? null : AdminConfig.read(door);
             List<Neighbour.Factory> beside = together == null ? List.of() : List.of(Talking.read(together));
             if (recording == null) {
                 Service.start(config, Brain::new, Brain::new, plan, beside, place::reread, () -> { });
--- a/gatherer/src/main/java/sprucehold/node/ConfigurationAdmin.java
+++ b/gatherer/src/main/java/sprucehold/node/ConfigurationAdmin.java
@@ -13,14 +13,14 @@
 import java.util.function.Supplier;
 import java.util.logging.Level;
 import java.util.logging.Logger;
+import sprucehold.admin.AdminConfig;
+import sprucehold.admin.AdminServer;
+import sprucehold.admin.ChangeDesk;
 import sprucehold.change.document.Document;
 import sprucehold.change.journal.JournalFile;
 import sprucehold.change.line.JournalEntry;
 import sprucehold.change.line.LineAction;
 import sprucehold.change.line.VersionLine;
-import sprucehold.door.ChangeDesk;
-import sprucehold.door.Door;
-import sprucehold.door.DoorPlan;
 import sprucehold.picker.Answer;
 import sprucehold.picker.Scan;
 import sprucehold.port.Gatherer;
@@ -34,11 +34,11 @@
 
     private final Vertx vertx;
     private final Context context;
-    private final DoorPlan plan;
+    private final AdminConfig plan;
     private final Clock clock;
     private final JournalFile journal;
     private final Changes changes;
-    private Door server;
+    private AdminServer server;
     private int port;
     private long slots = -1;
 
@@ -46,7 +46,7 @@
      * @param journal where versions are written down; null where no folder lasts
      * @param apply puts facts in force between two moments of the decisions
      */
-    ConfigurationAdmin(Vertx vertx, NodeConfig config, DoorPlan plan, JournalFile journal, Clock clock, Changes.Apply apply) {
+    ConfigurationAdmin(Vertx vertx, NodeConfig config, AdminConfig plan, JournalFile journal, Clock clock, Changes.Apply apply) {
         this.vertx = vertx;
         this.context = vertx.getOrCreateContext();
         this.plan = plan;
@@ -61,7 +61,7 @@
      *
      * @throws IOException if it can't be opened
      */
-    static JournalFile journalOf(DoorPlan plan) throws IOException {
+    static JournalFile journalOf(AdminConfig plan) throws IOException {
         JournalFile journal = plan.journal() == null ? null : JournalFile.open(plan.journal());
         if (journal != null && journal.cutOff() != null) {
             LOG.warning(journal.cutOff());
@@ -119,7 +119,7 @@
     Future<Integer> open(Map<String, Supplier<JsonNode>> views, IntSupplier held) {
         changes.started(clock.now(), journal == null ? List.of() : journal.entries());
         slots = vertx.setPeriodic(Changes.SLOT_MS, id -> changes.slotEnds(clock.now()));
-        server = new Door(vertx, plan.token(), views, new ChangeDesk() {
+        server = new AdminServer(vertx, plan.token(), views, new ChangeDesk() {
             @Override
             public VersionLine line() {
                 return changes.line();
--- a/gatherer/src/main/java/sprucehold/node/Node.java
+++ b/gatherer/src/main/java/sprucehold/node/Node.java
@@ -18,12 +18,12 @@
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import java.util.stream.Collectors;
+import sprucehold.admin.AdminConfig;
 import sprucehold.change.journal.JournalFile;
 import sprucehold.clients.Arrival;
 import sprucehold.clients.ClientServer;
 import sprucehold.clients.ScanHandler;
 import sprucehold.discovery.Watch;
-import sprucehold.door.DoorPlan;
 import sprucehold.picker.Answer;
 import sprucehold.picker.Dispatch;
 import sprucehold.picker.Orders;
@@ -83,10 +83,10 @@
     private final List<Neighbour> neighbours;
 
     /**
-     * @param plan the door through which it is changed, or null
+     * @param plan where operators change its configuration, or null
      * @param beside makes what stands beside it
      */
-    Node(Vertx vertx, NodeConfig config, Gatherer.Factory factory, DoorPlan plan, List<Neighbour.Factory> beside) throws IOException {
+    Node(Vertx vertx, NodeConfig config, Gatherer.Factory factory, AdminConfig plan, List<Neighbour.Factory> beside) throws IOException {
         this(vertx, config, factory, plan == null ? null : ConfigurationAdmin.journalOf(plan), plan, beside);
     }
 
@@ -94,7 +94,7 @@
         this(vertx, config, factory, null, null, List.of());
     }
 
-    private Node(Vertx vertx, NodeConfig config, Gatherer.Factory factory, JournalFile journal, DoorPlan plan,
+    private Node(Vertx vertx, NodeConfig config, Gatherer.Factory factory, JournalFile journal, AdminConfig plan,
             List<Neighbour.Factory> beside) {
         this.vertx = vertx;
         this.context = vertx.getOrCreateContext();
--- a/gatherer/src/main/java/sprucehold/node/Service.java
+++ b/gatherer/src/main/java/sprucehold/node/Service.java
@@ -13,7 +13,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.logging.Level;
 import java.util.logging.Logger;
-import sprucehold.door.DoorPlan;
+import sprucehold.admin.AdminConfig;
 import sprucehold.port.Gatherer;
 import sprucehold.sockets.AcceptingTransport;
 import sprucehold.standin.StandIns;
@@ -29,12 +29,12 @@
      *
      * @param rehearsed starts the module that scans of its own warm up
      * @param factory starts the module that serves
-     * @param door the door through which it is changed, or null
+     * @param door where operators change its configuration, or null
      * @param beside makes what stands beside the node
      * @param reread reads the configuration anew when SIGHUP asks for it
      * @param ended is called once all is answered, on the thread that ends the process
      */
-    public static void start(NodeConfig config, Gatherer.Factory rehearsed, Gatherer.Factory factory, DoorPlan door,
+    public static void start(NodeConfig config, Gatherer.Factory rehearsed, Gatherer.Factory factory, AdminConfig door,
             List<Neighbour.Factory> beside, Callable<NodeConfig> reread, Runnable ended) throws StartFailedException {
         WarmUp.run(config, rehearsed);
         Vertx vertx = vertx();
--- a/gatherer/src/test/java/sprucehold/node/ChangesTest.java
+++ b/gatherer/src/test/java/sprucehold/node/ChangesTest.java
@@ -27,8 +27,8 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
+import sprucehold.admin.AdminConfig;
 import sprucehold.brain.Brain;
-import sprucehold.door.DoorPlan;
 import sprucehold.standin.StandIns;
 
 /** A gatherer among stand-ins, under load, changed through its door. */
@@ -72,7 +72,7 @@
                     var moved = new NodeConfig("n", config.listen(), new NodeConfig.Address("127.0.0.1", discovery), 5,
                             config.sockets(), null, config.facts());
                     try {
-                        var serving = new Node(vertx, moved, Brain::new, new DoorPlan("127.0.0.1", 0, TOKEN,
+                        var serving = new Node(vertx, moved, Brain::new, new AdminConfig("127.0.0.1", 0, TOKEN,
                                 folder.resolve("journal"), 1500, 50), List.of());
                         return serving.start().map(listening -> {
                             port = listening;
