Read the settings of administration and cluster by one strict reader

AdminConfig and ClusterConfig held the same parser and schema check twice; both use settings.SettingsFile now.

--- a/cli/src/test/java/sprucehold/ArchitectureTest.java
+++ b/cli/src/test/java/sprucehold/ArchitectureTest.java
@@ -24,7 +24,7 @@
     private static final String[] STANDIN = {"sprucehold.standin.."};
     private static final String[] GATHERER = {"sprucehold.node..", "sprucehold.clients..", "sprucehold.shards..",
         "sprucehold.discovery..", "sprucehold.drill..", "sprucehold.admin..", "sprucehold.command..", "sprucehold.messaging..",
-        "sprucehold.cluster..", "sprucehold.sockets.."};
+        "sprucehold.cluster..", "sprucehold.settings..", "sprucehold.sockets.."};
     private static final String[] RIG = {"sprucehold.rig.."};
     private static final String[] CLI = {"sprucehold.cli.."};
 
--- a/gatherer/src/main/java/sprucehold/admin/AdminConfig.java
+++ b/gatherer/src/main/java/sprucehold/admin/AdminConfig.java
@@ -1,20 +1,10 @@
 package sprucehold.admin;
 
-import com.fasterxml.jackson.core.JsonParser;
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.json.JsonMapper;
-import com.networknt.schema.JsonSchema;
-import com.networknt.schema.JsonSchemaFactory;
-import com.networknt.schema.SpecVersion;
-import com.networknt.schema.ValidationMessage;
 import java.io.IOException;
-import java.io.InputStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.Set;
-import java.util.stream.Collectors;
+import sprucehold.settings.SettingsFile;
 
 /**
  * What an operator says of the door, from a JSON file of the form {@code deploy/door.schema.json}.
@@ -26,24 +16,13 @@
  * @param leastScans and how many scans have to be seen
  */
 public record AdminConfig(String host, int port, String token, Path journal, double watchMs, long leastScans) {
+    private static final String SCHEMA = "door.schema.json";
     /** A shorter one could be tried out. */
     private static final int LEAST_TOKEN_LETTERS = 16;
 
     /** @throws IOException with all that is wrong with the file, in one line */
     public static AdminConfig read(Path file) throws IOException {
-        JsonNode node;
-        try {
-            node = JsonMapper.builder().enable(JsonParser.Feature.STRICT_DUPLICATE_DETECTION)
-                    .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS).build().readTree(Files.readAllBytes(file));
-        } catch (JsonProcessingException e) {
-            throw new IOException(file + ", line " + (e.getLocation() == null ? 1 : e.getLocation().getLineNr())
-                    + ": not JSON: " + e.getOriginalMessage(), e);
-        }
-        Set<ValidationMessage> faults = schema().validate(node);
-        if (!faults.isEmpty()) {
-            throw new IOException(file + ": " + faults.stream().map(ValidationMessage::getMessage).sorted()
-                    .collect(Collectors.joining("; ")));
-        }
+        JsonNode node = SettingsFile.read(file, SCHEMA);
         String listen = node.path("listen").asText("127.0.0.1:8600");
         int colon = listen.lastIndexOf(':');
         Path tokenFile = beside(file, node.get("tokenFile").asText());
@@ -60,10 +39,4 @@
     private static Path beside(Path file, String named) {
         return file.toAbsolutePath().resolveSibling(named);
     }
-
-    private static JsonSchema schema() throws IOException {
-        try (InputStream in = AdminConfig.class.getResourceAsStream("/door.schema.json")) {
-            return JsonSchemaFactory.getInstance(SpecVersion.VersionFlag.V202012).getSchema(in);
-        }
-    }
 }
--- a/gatherer/src/main/java/sprucehold/cluster/ClusterConfig.java
+++ b/gatherer/src/main/java/sprucehold/cluster/ClusterConfig.java
@@ -1,25 +1,15 @@
 package sprucehold.cluster;
 
-import com.fasterxml.jackson.core.JsonParser;
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.json.JsonMapper;
-import com.networknt.schema.JsonSchema;
-import com.networknt.schema.JsonSchemaFactory;
-import com.networknt.schema.SpecVersion;
-import com.networknt.schema.ValidationMessage;
 import java.io.IOException;
-import java.io.InputStream;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.EnumSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
-import java.util.stream.Collectors;
 import sprucehold.messaging.PeerMessagingSettings;
 import sprucehold.port.Bound;
+import sprucehold.settings.SettingsFile;
 
 /**
  * What an operator says of the gatherers that talk, from a JSON file of the form {@code deploy/together.schema.json}; the same
@@ -34,6 +24,7 @@
  */
 public record ClusterConfig(Map<String, Member> members, Set<Bound.Kind> shared, int further, double furtherWindowMs,
         double driftPpm, double clocksOffMs, double lettersPerS, double bytesPerS) {
+    private static final String SCHEMA = "together.schema.json";
 
     /**
      * One gatherer.
@@ -46,19 +37,7 @@
 
     /** @throws IOException with all that is wrong with the file, in one line */
     public static ClusterConfig read(Path file) throws IOException {
-        JsonNode node;
-        try {
-            node = JsonMapper.builder().enable(JsonParser.Feature.STRICT_DUPLICATE_DETECTION)
-                    .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS).build().readTree(Files.readAllBytes(file));
-        } catch (JsonProcessingException e) {
-            throw new IOException(file + ", line " + (e.getLocation() == null ? 1 : e.getLocation().getLineNr())
-                    + ": not JSON: " + e.getOriginalMessage(), e);
-        }
-        Set<ValidationMessage> faults = schema().validate(node);
-        if (!faults.isEmpty()) {
-            throw new IOException(file + ": " + faults.stream().map(ValidationMessage::getMessage).sorted()
-                    .collect(Collectors.joining("; ")));
-        }
+        JsonNode node = SettingsFile.read(file, SCHEMA);
         var members = new LinkedHashMap<String, Member>();
         int at = 0;
         for (JsonNode member : node.get("members")) {
@@ -96,10 +75,4 @@
         }
         return new PeerMessagingSettings.Address(text.substring(0, colon), port);
     }
-
-    private static JsonSchema schema() throws IOException {
-        try (InputStream in = ClusterConfig.class.getResourceAsStream("/together.schema.json")) {
-            return JsonSchemaFactory.getInstance(SpecVersion.VersionFlag.V202012).getSchema(in);
-        }
-    }
 }
