Review: failures that lie far apart delay the next call for the list

Cause: the policy counts failed calls in a row, but a call that is answered without news doesn't set the count back. After refusals at the start, a watch that falls silent is asked for again up to 3 s after its timeout, which is later than the gatherer counts as told of a drain.

The stand-in for discovery and the start of gatherers serve several gatherers now.

--- a/review/src/review/Crash.java
+++ b/review/src/review/Crash.java
@@ -25,9 +25,10 @@
 
     private static int play(Kit kit) throws Exception {
         List<Kit.Endpoint> endpoints = kit.endpoints(2, (link, part) -> link.hit(part, 20));
-        var discovery = new Kit.Discovery(kit, endpoints);
+        var discovery = new Kit.Discovery(kit, "n0", endpoints);
         var gatherer = kit.new Gatherer(discovery, Kit.settings(), DESCRIPTORS);
-        var load = new Load(kit, gatherer.port, 4, 50);
+        gatherer.awaitReady();
+        var load = new Load(kit, gatherer.port, 0, 4, 50);
         load.start();
         Thread.sleep(4000);
         Kit.Counts answers = Kit.TROUBLE ? atOnce(kit, gatherer.port) : inTurn(kit, gatherer.port);
--- a/review/src/review/Kit.java
+++ b/review/src/review/Kit.java
@@ -149,10 +149,7 @@
         final String zone;
         final ShardServer server;
         volatile String status = "active";
-        long changedAt = 1;
-
-        /** When the gatherer counts as told that the server drains; negative if it doesn't. */
-        volatile double toldDrainingAtMs = -1;
+        volatile long changedAt = 1;
 
         Endpoint(String name, int group, String zone, ShardServer server) {
             this.name = name;
@@ -169,18 +166,41 @@
         }
     }
 
-    /** Gatherer's agent of discovery: the whole list, or a watch on changes. */
+    /** Discovery as one gatherer reaches it: the whole list, or a watch on changes. */
     static final class Discovery implements AutoCloseable {
+        /** A call that waits for a change. */
+        private static final class Watch {
+            final double begunAtMs;
+            final long waitMs;
+            boolean silent;
+
+            Watch(double begunAtMs, long waitMs) {
+                this.begunAtMs = begunAtMs;
+                this.waitMs = waitMs;
+            }
+        }
+
+        /** What a silent watch misses counts as told so long after the silence began. */
+        private static final double TOLD_AFTER_SILENCE_MS = 6000;
+
+        /** For a long poll: so long after its wait is over, if that is later. */
+        private static final double TOLD_AFTER_WAIT_MS = 2000;
+
         final int port;
         private final Kit kit;
+        private final String gatherer;
         private final ServerSocket listener;
         private final List<Endpoint> endpoints;
-        private final List<Socket> open = new ArrayList<>();
+        private final List<Watch> watches = new ArrayList<>();
         private long index = 1;
-        private boolean down;
+        private int calls;
+        private boolean crowded;
+        private double toldAtTheLatestMs = Double.POSITIVE_INFINITY;
+        private double toldOfDrainsAtMs = Double.POSITIVE_INFINITY;
 
-        Discovery(Kit kit, List<Endpoint> endpoints) throws IOException {
+        Discovery(Kit kit, String gatherer, List<Endpoint> endpoints) throws IOException {
             this.kit = kit;
+            this.gatherer = gatherer;
             this.endpoints = endpoints;
             this.listener = new ServerSocket(0, 50, loopback());
             this.port = listener.getLocalPort();
@@ -193,9 +213,6 @@
                 while (true) {
                     Socket socket = listener.accept();
                     socket.setTcpNoDelay(true);
-                    synchronized (this) {
-                        open.add(socket);
-                    }
                     daemon(() -> serve(socket)).start();
                 }
             } catch (IOException e) {
@@ -206,42 +223,51 @@
         private void serve(Socket socket) {
             try (socket) {
                 InputStream in = new BufferedInputStream(socket.getInputStream());
-                while (true) {
-                    String head = readHead(in);
-                    if (head == null) {
-                        return;
-                    }
+                for (String head = readHead(in); head != null; head = readHead(in)) {
                     String line = head.substring(0, head.indexOf('\r'));
-                    kit.log("discovery is asked: " + line);
-                    String body = answer(line, socket);
+                    kit.log(gatherer + " asks discovery: " + line);
+                    String body = answer(line);
                     if (body == null) {
+                        // Silent: the connection stays open until the gatherer closes it.
+                        while (in.read() >= 0) {}
                         return;
                     }
                     byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
-                    socket.getOutputStream()
-                            .write(
-                                    ("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
-                                                    + "Content-Length: "
-                                                    + bytes.length
-                                                    + "\r\n\r\n"
-                                                    + body)
-                                            .getBytes(StandardCharsets.UTF_8));
-                    kit.log("discovery answers: " + body);
+                    String status = body.startsWith("{") ? "200 OK" : "503 Service Unavailable";
+                    String answer =
+                            "HTTP/1.1 " + status + "\r\nContent-Length: " + bytes.length
+                                    + "\r\n\r\n" + body;
+                    socket.getOutputStream().write(answer.getBytes(StandardCharsets.UTF_8));
+                    kit.log("discovery answers " + gatherer + ": " + status + " " + body);
+                    if (body.contains("leaving")) {
+                        tell(kit.nowMs());
+                    }
                 }
             } catch (IOException | InterruptedException e) {
                 // The connection is gone.
             }
         }
 
-        private synchronized String answer(String line, Socket socket)
-                throws InterruptedException {
+        private synchronized void tell(double atMs) {
+            toldOfDrainsAtMs = Math.min(toldOfDrainsAtMs, atMs);
+        }
+
+        /** Returns the body of an answer; null if the call has fallen silent. */
+        private synchronized String answer(String line) throws InterruptedException {
+            calls++;
+            if (crowded && calls > 1) {
+                return "crowded";
+            }
             long after = parameter(line, "after");
-            double untilMs = kit.nowMs() + Math.max(0, parameter(line, "wait_ms"));
-            while (down || (after >= 0 && index <= after && kit.nowMs() < untilMs)) {
-                wait(down ? 1000 : Math.max(1, (long) (untilMs - kit.nowMs())));
-                if (socket.isClosed()) {
-                    return null;
-                }
+            var watch = new Watch(kit.nowMs(), Math.max(0, parameter(line, "wait_ms")));
+            watches.add(watch);
+            double untilMs = watch.begunAtMs + watch.waitMs;
+            while (!watch.silent && after >= 0 && index <= after && kit.nowMs() < untilMs) {
+                wait(Math.max(1, (long) (untilMs - kit.nowMs())));
+            }
+            watches.remove(watch);
+            if (watch.silent) {
+                return null;
             }
             var entries = new ArrayList<String>();
             for (Endpoint endpoint : endpoints) {
@@ -266,39 +292,41 @@
             return Long.parseLong(line.substring(at + name.length() + 1).split("[^0-9]")[0]);
         }
 
-        /** The agent is silent from now on: it accepts and reads, and answers nothing. */
-        synchronized void goDown() {
-            down = true;
-            kit.log("discovery is down");
-        }
-
-        /**
-         * The agent is back and has a new list in which a server drains. The gatherer counts as
-         * told from this moment.
-         *
-         * @param endWatches whether open calls end instead of telling
-         */
-        synchronized void comeBack(Endpoint draining, boolean endWatches) throws IOException {
-            index++;
-            draining.status = "leaving";
-            draining.changedAt = index;
-            if (endWatches) {
-                for (Socket socket : open) {
-                    socket.close();
-                }
-                open.clear();
+        /** While discovery is crowded, it refuses all calls but the first of a gatherer. */
+        synchronized void setCrowded(boolean crowded) {
+            this.crowded = crowded;
+        }
+
+        /** All open watches fall silent. New calls are answered. */
+        synchronized void fallSilent() {
+            double nowMs = kit.nowMs();
+            toldAtTheLatestMs = nowMs + TOLD_AFTER_SILENCE_MS;
+            for (Watch watch : watches) {
+                watch.silent = true;
+                toldAtTheLatestMs =
+                        Math.max(
+                                toldAtTheLatestMs,
+                                watch.begunAtMs + watch.waitMs + TOLD_AFTER_WAIT_MS);
+                kit.log(
+                        String.format(
+                                "the watch of %s, begun at %.0f with a wait of %d, falls silent;"
+                                        + " what it misses counts as told at %.0f",
+                                gatherer, watch.begunAtMs, watch.waitMs, toldAtTheLatestMs));
             }
-            down = false;
-            draining.toldDrainingAtMs = kit.nowMs();
-            kit.log(
-                    "discovery is back"
-                            + (endWatches ? ", open calls end" : "")
-                            + ": "
-                            + draining.name
-                            + " drains");
             notifyAll();
         }
 
+        /** Has a new version of the list, whose changes are set in the endpoints already. */
+        synchronized void changed(long newIndex) {
+            index = newIndex;
+            notifyAll();
+        }
+
+        /** When the gatherer counts as told of the servers that drain. */
+        synchronized double toldOfDrainsAtMs() {
+            return Math.min(toldOfDrainsAtMs, toldAtTheLatestMs);
+        }
+
         String list() {
             var entries = new ArrayList<String>();
             endpoints.forEach(endpoint -> entries.add(endpoint.json()));
@@ -466,39 +494,42 @@
         final int port;
         final Process process;
 
-        Gatherer(Discovery discovery, String settings, int sockets)
-                throws IOException, InterruptedException {
+        private final String name;
+
+        /** Starts a gatherer; {@link #awaitReady} returns once it is ready. */
+        Gatherer(Discovery discovery, String settings, int sockets) throws IOException {
+            name = discovery.gatherer;
             port = freePort();
             String listen = "127.0.0.1:" + port;
             String agent = "127.0.0.1:" + discovery.port;
-            Path config = temporary.resolve("config.json");
+            Path directory = Files.createDirectories(temporary.resolve(name).resolve("tmp"));
+            Path config = temporary.resolve(name).resolve("config.json");
             Files.writeString(
                     config,
                     String.format(
-                            "{\"name\":\"n0\",\"listen\":\"%s\",\"discovery\":\"%s\",\"seed\":\"%x\","
+                            "{\"name\":\"%s\",\"listen\":\"%s\",\"discovery\":\"%s\",\"seed\":\"%x\","
                                 + "\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":%d},"
                                 + "\"known\":%s,\"settings\":%s}",
+                            name,
                             listen,
                             agent,
                             System.nanoTime(),
                             sockets,
                             discovery.list(),
                             settings));
-            Files.createDirectories(temporary.resolve("tmp"));
             var builder = new ProcessBuilder("/bin/sh", "-c", runCommand());
             builder.directory(root.toFile());
             Map<String, String> environment = builder.environment();
             environment.put("EDGE_CONFIG", config.toString());
-            environment.put("EDGE_NAME", "n0");
+            environment.put("EDGE_NAME", name);
             environment.put("EDGE_LISTEN", listen);
             environment.put("EDGE_DISCOVERY", agent);
-            environment.put("TMPDIR", temporary.resolve("tmp").toString());
+            environment.put("TMPDIR", directory.toString());
             builder.redirectErrorStream(true);
-            log("starts: " + runCommand());
+            log("starts " + name + ": " + runCommand());
             process = builder.start();
             closeAtEnd(this);
             daemon(this::copyLog).start();
-            awaitReady();
         }
 
         private String runCommand() throws IOException {
@@ -513,14 +544,14 @@
         private void copyLog() {
             try (var lines = process.inputReader()) {
                 for (String line = lines.readLine(); line != null; line = lines.readLine()) {
-                    log("gatherer: " + line);
+                    log("gatherer " + name + ": " + line);
                 }
             } catch (IOException e) {
                 // The gatherer has ended.
             }
         }
 
-        private void awaitReady() throws IOException, InterruptedException {
+        void awaitReady() throws IOException, InterruptedException {
             for (int i = 0; i < 300; i++) {
                 if (!process.isAlive()) {
                     break;
@@ -616,8 +647,21 @@
 
     /** Settings of a small deployment: ten shards in two cells, three classes, a pushed list. */
     static String settings() {
-        return "{\"balancers\":1,\"locality\":\"a\",\"dcs\":[\"a\",\"b\"],\"quantumMs\":5.0,"
-                + "\"overShareWorth\":0.2,\"discovery\":\"automatic\",\"classes\":["
+        return settings(1, "automatic", 250);
+    }
+
+    /**
+     * Settings of a small deployment.
+     *
+     * @param discovery {@code automatic} if the list is pushed, {@code subscribe} if it is asked for
+     */
+    static String settings(int gatherers, String discovery, int drainGraceMs) {
+        return "{\"balancers\":"
+                + gatherers
+                + ",\"locality\":\"a\",\"dcs\":[\"a\",\"b\"],\"quantumMs\":5.0,"
+                + "\"overShareWorth\":0.2,\"discovery\":\""
+                + discovery
+                + "\",\"classes\":["
                 + "{\"name\":\"offers\",\"semantics\":\"retryable\",\"aimMs\":1200.0,"
                 + "\"giveUpMs\":4000.0,\"worth\":2.0,\"lateValue\":0.3,\"windowMs\":5000.0},"
                 + "{\"name\":\"receipts\",\"semantics\":\"retryable\",\"aimMs\":800.0,"
@@ -632,7 +676,9 @@
                 + "\"maxOpen\":200,\"maxRetryAfterMs\":1000.0,\"retryAfter\":true,\"probes\":true,"
                 + "\"secondCopies\":true,\"sendCap\":4,\"streamsPerConn\":32,\"peers\":false},"
                 + "\"safety\":{\"answerSlackMs\":20.0,\"coldFrom\":0.16,\"coldMs\":17000.0,"
-                + "\"drainGraceMs\":250.0,\"fallMultiple\":4.0,\"overloadForMs\":1000.0,"
+                + "\"drainGraceMs\":"
+                + drainGraceMs
+                + ",\"fallMultiple\":4.0,\"overloadForMs\":1000.0,"
                 + "\"mustAskInMs\":10000.0}}";
     }
 
--- a/review/src/review/Load.java
+++ b/review/src/review/Load.java
@@ -20,15 +20,20 @@
 
     private final Kit kit;
     private final int port;
+    private final int number;
     private final List<Thread> threads = new ArrayList<>();
     private final AtomicLong ids = new AtomicLong(System.nanoTime() << 8);
     final Kit.Counts counts = new Kit.Counts();
     final AtomicInteger wrongValues = new AtomicInteger();
     private volatile boolean stopped;
 
-    Load(Kit kit, int port, int clients, int pauseMs) {
+    /**
+     * @param number number of the gatherer, the first digit of all ids
+     */
+    Load(Kit kit, int port, int number, int clients, int pauseMs) {
         this.kit = kit;
         this.port = port;
+        this.number = number;
         for (int i = 0; i < clients; i++) {
             int client = i;
             threads.add(Kit.daemon(() -> serveClient(client, pauseMs)));
@@ -73,7 +78,7 @@
     /** Sends one query; returns whether the connection may be used again. */
     private boolean ask(Kit.Client connection, int i) {
         int queryClass = i % CLASSES.length;
-        String id = String.format("%016x", ids.incrementAndGet());
+        String id = String.format("%x%015x", number, ids.incrementAndGet() & 0xfffffffffffffffL);
         String body = "t" + id.substring(8);
         int[] shards = new int[queryClass == 2 ? 2 : 4];
         for (int k = 0; k < shards.length; k++) {
--- a/review/src/review/Spoilt.java
+++ b/review/src/review/Spoilt.java
@@ -31,9 +31,10 @@
 
     private static int play(Kit kit) throws Exception {
         List<Kit.Endpoint> endpoints = kit.endpoints(2, Spoilt::receive);
-        var discovery = new Kit.Discovery(kit, endpoints);
+        var discovery = new Kit.Discovery(kit, "n0", endpoints);
         var gatherer = kit.new Gatherer(discovery, Kit.settings(), 1024);
-        var load = new Load(kit, gatherer.port, 6, 50);
+        gatherer.awaitReady();
+        var load = new Load(kit, gatherer.port, 0, 6, 50);
         load.start();
         Thread.sleep(20_000);
         load.stop();
