Review: case 1 completes all of its requests together and tells the memory

Cause: how fast the sender was decided whether the requests were in at once; sent by 300 threads, such a burst didn't end the process.

Change: 330 requests (with the usual clients 334 connections, under a third of the descriptors), whose last bytes go out together; the record has the gatherer's largest resident memory.

--- a/review/src/review/Crash.java
+++ b/review/src/review/Crash.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
@@ -13,7 +15,7 @@
  * after the other.
  */
 final class Crash {
-    private static final int REQUESTS = 300;
+    private static final int REQUESTS = 330;
     private static final int DESCRIPTORS = 1024;
     private static final int BODY_BYTES = 64 * 1024;
 
@@ -31,6 +33,7 @@
         var load = new Load(kit, gatherer.port, 0, 4, 50);
         load.start();
         Thread.sleep(4000);
+        Kit.daemon(() -> recordMemory(kit, gatherer.process)).start();
         Kit.Counts answers = Kit.TROUBLE ? atOnce(kit, gatherer.port) : inTurn(kit, gatherer.port);
         Thread.sleep(4000);
         boolean alive = gatherer.process.isAlive();
@@ -42,6 +45,23 @@
         return alive ? Kit.HELD : Kit.BROKEN;
     }
 
+    /** Records the gatherer's largest resident memory up to its end, where the system tells it. */
+    private static void recordMemory(Kit kit, Process process) {
+        Path status = Path.of("/proc/" + process.pid() + "/status");
+        String last = "unknown";
+        try {
+            while (process.isAlive()) {
+                for (String line : Files.readAllLines(status)) {
+                    last = line.startsWith("VmHWM") ? line.replaceAll("\\s+", " ") : last;
+                }
+                Thread.sleep(50);
+            }
+        } catch (IOException | InterruptedException e) {
+            // The process has ended, or the system has no such file.
+        }
+        kit.log("largest resident memory of the gatherer: " + last);
+    }
+
     private static String request(int i) {
         String body = "x".repeat(BODY_BYTES - 64);
         return Kit.query(String.format("%015xb", i), "offers", 3000, new int[] {i % 10}, body);
@@ -59,11 +79,11 @@
         }
         kit.log(REQUESTS + " connections are open; each sends a request of 64 KiB now");
         for (int i = 0; i < REQUESTS; i++) {
-            try {
-                clients.get(i).socket.getOutputStream().write(requests.get(i));
-            } catch (IOException e) {
-                // The connection is reset; its client gets no answer.
-            }
+            write(clients.get(i), requests.get(i), 0, requests.get(i).length - 1);
+        }
+        // The last bytes go out together, so that a slow sender doesn't spread the requests.
+        for (int i = 0; i < REQUESTS; i++) {
+            write(clients.get(i), requests.get(i), requests.get(i).length - 1, 1);
         }
         kit.log(REQUESTS + " requests are sent");
         var done = new CountDownLatch(REQUESTS);
@@ -79,6 +99,14 @@
         return answers;
     }
 
+    private static void write(Kit.Client client, byte[] bytes, int from, int length) {
+        try {
+            client.socket.getOutputStream().write(bytes, from, length);
+        } catch (IOException e) {
+            // The connection is reset; its client gets no answer.
+        }
+    }
+
     private static Kit.Counts inTurn(Kit kit, int port) throws Exception {
         var answers = new Kit.Counts();
         kit.log(REQUESTS + " requests of 64 KiB come one after the other");
