--- a/review/src-2/Crash.java
+++ b/review/src-2/Crash.java
@@ -11,8 +11,8 @@
 
 /** Bad clients send hundreds of requests at once each: does the gatherer's process stay up? */
 public final class Crash {
-    private static final int BAD_CLIENTS = 400;
-    private static final int REQUESTS_EACH = 300;
+    private static final int BAD_CLIENTS = 320;
+    private static final int REQUESTS_EACH = 200;
     private static final long BAD_MS = 8000;
 
     private Crash() {}
@@ -30,7 +30,7 @@
         Thread.sleep(3000);
         if (Stage.trouble()) {
             byte[] small =
-                    Bytes.ascii("GET /up HTTP/1.1\r\nHost: a\r\n" + "a: b\r\n".repeat(6) + "\r\n");
+                    Bytes.ascii("GET /up HTTP/1.1\r\nHost: a\r\n" + "a: b\r\n".repeat(8) + "\r\n");
             byte[] others =
                     Bytes.join(
                             Collections.nCopies(REQUESTS_EACH - 1, small).toArray(byte[][]::new));
