--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,4 +5,4 @@
 cd "$(dirname "$0")/src-2"
 rm -rf classes
 mkdir classes
-javac -Xlint:all -Werror -d classes stage/*.java ./*.java
+javac --release 17 -encoding UTF-8 -d classes stage/*.java ./*.java
