Review: a drain is learned late where all connections to discovery fall silent (case 10)

Cause: the call after a silent watch goes out on the other open connection, which is silent too; the watch is opened anew only after a second failure. The scripts of cases 6 to 9 use the same stand-in. Nothing of the program is changed.

--- a/review/src-2/stage/Discovery.java
+++ b/review/src-2/stage/Discovery.java
@@ -8,15 +8,26 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 
-/** Agent of discovery: tells the whole list, and holds watches until their wait is over. */
+/**
+ * Discovery: tells the whole list, and holds watches until something changes or their wait is over.
+ * Its open connections can fall silent; it serves those that are opened later.
+ */
 public final class Discovery {
-    private static final int INDEX = 41;
+    private static final int FIRST_INDEX = 41;
 
     private final Stage stage;
     private final ServerSocket listener;
     private final List<ShardServer> servers;
+    private final Set<Socket> open = new HashSet<>();
+    private final Set<Socket> silent = new HashSet<>();
+    private List<ShardServer> draining = List.of();
+    private int index = FIRST_INDEX;
+    private double waitEndsMs = Double.NaN;
+    private double toldMs = Double.POSITIVE_INFINITY;
 
     /** Starts an agent that lists these servers. */
     public Discovery(Stage stage, List<ShardServer> servers) throws IOException {
@@ -38,7 +49,37 @@
         }
     }
 
+    /** Lets all connections that are open now fall silent: they stay open, and nothing is said. */
+    public synchronized void fallSilent() {
+        silent.addAll(open);
+        stage.log(silent.size() + " open connections to discovery fall silent");
+        notifyAll();
+    }
+
+    /** Lists these servers as draining from now on. */
+    public synchronized void drain(List<ShardServer> servers) {
+        draining = List.copyOf(servers);
+        index += servers.size();
+        stage.log(
+                "discovery lists as draining: "
+                        + servers.stream().map(ShardServer::name).toList());
+        notifyAll();
+    }
+
+    /** Returns when the wait of the latest watch ends that asked for more than a second. */
+    public synchronized double waitEndsMs() {
+        return waitEndsMs;
+    }
+
+    /** Returns when the draining servers were first told in an answer; infinite before that. */
+    public synchronized double toldMs() {
+        return toldMs;
+    }
+
     private void serve(Socket socket) throws IOException, InterruptedException {
+        synchronized (this) {
+            open.add(socket);
+        }
         try (socket) {
             var in =
                     new BufferedReader(
@@ -49,28 +90,68 @@
                 while (!in.readLine().isEmpty()) {
                     // The heads tell nothing more.
                 }
-                String body;
-                int wait = path.indexOf("wait_ms=");
-                if (wait >= 0) {
-                    Thread.sleep(Long.parseLong(path.substring(wait + 8).split("&")[0]));
-                    body = "{\"index\":" + INDEX + ",\"snapshot\":false,\"endpoints\":[]}";
-                } else {
-                    body = wholeList();
-                    stage.log("discovery tells its whole list, " + servers.size() + " servers");
+                String body = answer(socket, path);
+                if (body != null) {
+                    byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+                    String head =
+                            "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: "
+                                    + bytes.length
+                                    + "\r\n\r\n";
+                    socket.getOutputStream().write(Bytes.join(Bytes.ascii(head), bytes));
                 }
-                byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
-                String head =
-                        "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: "
-                                + bytes.length
-                                + "\r\n\r\n";
-                socket.getOutputStream().write(Bytes.join(Bytes.ascii(head), bytes));
+            }
+        } finally {
+            synchronized (this) {
+                open.remove(socket);
             }
         }
     }
 
-    private String wholeList() {
+    /** Returns the answer to a call, or null if its connection is or falls silent. */
+    private synchronized String answer(Socket socket, String path) throws InterruptedException {
+        int after = number(path, "after=");
+        int waitMs = number(path, "wait_ms=");
+        boolean quiet = silent.contains(socket);
+        if (draining.isEmpty() || quiet || waitMs > 1000) {
+            stage.log(
+                    "call for " + path + (quiet ? " on a silent connection, not answered" : ""));
+        }
+        double endsMs = stage.nowMs() + Math.max(0, waitMs);
+        if (waitMs > 1000 && draining.isEmpty()) {
+            waitEndsMs = endsMs;
+        }
+        while (!silent.contains(socket) && after >= index && stage.nowMs() < endsMs) {
+            wait((long) Math.max(1, endsMs - stage.nowMs()));
+        }
+        if (silent.contains(socket)) {
+            return null;
+        }
+        if (after < 0) {
+            told();
+            return list(true, servers);
+        }
+        boolean news = after < index;
+        if (news) {
+            told();
+        }
+        return list(false, news ? draining : List.of());
+    }
+
+    private void told() {
+        if (!draining.isEmpty() && toldMs == Double.POSITIVE_INFINITY) {
+            toldMs = stage.nowMs();
+            stage.log("discovery tells of the draining servers");
+        }
+    }
+
+    private static int number(String path, String key) {
+        int at = path.indexOf(key);
+        return at < 0 ? -1 : Integer.parseInt(path.substring(at + key.length()).split("&")[0]);
+    }
+
+    private String list(boolean whole, List<ShardServer> listed) {
         var entries = new ArrayList<String>();
-        for (ShardServer server : servers) {
+        for (ShardServer server : listed) {
             entries.add(
                     "{\"name\":\""
                             + server.name()
@@ -80,11 +161,15 @@
                             + server.zone()
                             + "\",\"type\":\"m1\",\"group\":"
                             + server.group()
-                            + ",\"status\":\"active\",\"weight\":1.0,\"since_ms\":0}");
+                            + ",\"status\":\""
+                            + (draining.contains(server) ? "leaving" : "active")
+                            + "\",\"weight\":1.0,\"since_ms\":0}");
         }
         return "{\"index\":"
-                + INDEX
-                + ",\"snapshot\":true,\"endpoints\":["
+                + index
+                + ",\"snapshot\":"
+                + whole
+                + ",\"endpoints\":["
                 + String.join(",", entries)
                 + "]}";
     }
--- a/review/src-2/stage/Settings.java
+++ b/review/src-2/stage/Settings.java
@@ -38,5 +38,10 @@
                     + "\"safety\":{\"coldFrom\":0.16,\"coldMs\":17000.0,\"fallMultiple\":4.0,"
                     + "\"overloadForMs\":1000.0,\"drainGraceMs\":250.0,\"mustAskInMs\":10000.0}}";
 
+    /** The same where discovery has to be asked; a drain has a grace of half a second. */
+    public static final String ASKED =
+            JSON.replace("\"automatic\"", "\"subscribe\"")
+                    .replace("\"drainGraceMs\":250.0", "\"drainGraceMs\":500.0");
+
     private Settings() {}
 }
--- a/review/src-2/stage/ShardServer.java
+++ b/review/src-2/stage/ShardServer.java
@@ -71,7 +71,8 @@
         return fleet;
     }
 
-    String name() {
+    /** Returns the name in the list. */
+    public String name() {
         return name;
     }
 
