Bound what clients make the process hold: one decoded request a connection

Cause: whatever a read brought was decoded before the HTTP server stopped reading, up to 16 KiB a connection, and a request of 77 bytes becomes more than a kilobyte of objects. Only bodies were counted over all connections.

Change: a request is decoded once the answer to the one before is written (StrictDecoder, RequestInput); ClientMemory replaces BodyMemory and counts waiting input, heads, bodies and unread answers over all connections; DecodeBudget bounds the decoding of a pass; a client that doesn't read its answer for 20 s is disconnected, and closes of old connections are made in turns of 5 ms that read at most 128 KiB of a connection.

Why it works: what waits is bytes, with one bound over all connections, and no read can turn into more than one request's objects.

Tests of gatherer and the modules above it pass (mvn verify -pl gatherer -am).

--- a/gatherer/src/main/java/sprucehold/clients/ChannelCloser.java
+++ b/gatherer/src/main/java/sprucehold/clients/ChannelCloser.java
@@ -8,6 +8,9 @@
 
 /** Closes clients' connections at the channel, below the HTTP server. */
 final class ChannelCloser implements ClientConnections.Closer<HttpConnection> {
+    /** Limit on the bytes read before a close; twice the longest request whose length is stated. */
+    private static final int MAX_UNREAD_BYTES = 2 * RequestBody.MAX_BYTES;
+
     /** Returns the channel of a connection. */
     static Channel channel(HttpConnection connection) {
         return ((HttpServerConnection) connection).channelHandlerContext().channel();
@@ -15,7 +18,8 @@
 
     @Override
     public void readUnread(HttpConnection connection) {
-        UnreadInput.readAll(channel(connection));
+        RequestInput input = RequestInput.of(connection);
+        UnreadInput.readWhile(channel(connection), MAX_UNREAD_BYTES, () -> !input.isHeldBack());
     }
 
     /**
--- a/gatherer/src/main/java/sprucehold/clients/ClientConnections.java
+++ b/gatherer/src/main/java/sprucehold/clients/ClientConnections.java
@@ -53,11 +53,23 @@
      */
     private static final double ARRIVING_AFTER_ACCEPT_MS = 20;
 
+    /**
+     * Time after which a connection is closed whose client has not read its answer completely. It
+     * is longer than any client is likely to wait for an answer.
+     */
+    static final double ANSWER_TIMEOUT_MS = 20_000;
+
+    /**
+     * Maximum duration of one call of {@link #closeMarked}, in milliseconds, so that reading the
+     * unread input of many connections doesn't delay the event loop.
+     */
+    static final double MAX_CLOSE_TURN_MS = 5;
+
     /** Operations on a connection. */
     interface Closer<C> {
         /**
-         * Reads all unread input of the connection, so that requests its client has sent up to now
-         * are reported.
+         * Reads the unread input of the connection, as much as one request may have, so that a
+         * request its client has sent up to now is reported.
          */
         void readUnread(C connection);
 
@@ -122,6 +134,9 @@
      */
     private final Set<C> closing = new LinkedHashSet<>();
 
+    /** Connections whose clients have not read an answer completely; the oldest answer first. */
+    private final Set<C> answering = new LinkedHashSet<>();
+
     /** Connections on which a request has been received in part. */
     private final Set<C> receiving = new LinkedHashSet<>();
 
@@ -216,11 +231,22 @@
         }
     }
 
+    /** Records that an answer is being written after which the connection stays open. */
+    void answerBegun(C connection) {
+        State state = open.get(connection);
+        if (state != null && !state.lastAnswer) {
+            state.sinceMs = clock.getAsDouble();
+            answering.add(connection);
+        }
+    }
+
     /** Records that an answer was completely written. */
     void answered(C connection) {
         State state = open.get(connection);
         if (state != null && !state.lastAnswer) {
             state.sinceMs = clock.getAsDouble();
+            state.marked = false;
+            answering.remove(connection);
             awaiting.remove(connection);
             receiving.remove(connection);
             idle.add(connection);
@@ -279,7 +305,8 @@
     boolean markOverdue() {
         boolean anyAwaiting = mark(awaiting, REQUEST_TIMEOUT_MS);
         boolean anyIdle = mark(idle, isCrowded() ? KEEP_ALIVE_CROWDED_MS : KEEP_ALIVE_MS);
-        return anyAwaiting || anyIdle;
+        boolean anyAnswering = mark(answering, ANSWER_TIMEOUT_MS);
+        return anyAwaiting || anyIdle || anyAnswering;
     }
 
     /**
@@ -304,17 +331,24 @@
 
     /**
      * Closes the marked connections from which no request has been received since they were marked.
-     * Unread input is read first.
+     * Unread input is read first. Returns true if the time limit of a call ended it before all were
+     * closed; the caller then calls it again after the sockets have been read.
      */
-    void closeMarked() {
+    boolean closeMarked() {
+        double endsAtMs = clock.getAsDouble() + MAX_CLOSE_TURN_MS;
         for (C connection : List.copyOf(open.keySet())) {
-            if (isMarked(connection)) {
-                closer.readUnread(connection);
+            if (!isMarked(connection)) {
+                continue;
+            }
+            if (clock.getAsDouble() > endsAtMs) {
+                return true;
             }
+            closer.readUnread(connection);
             if (isMarked(connection)) {
                 close(connection);
             }
         }
+        return false;
     }
 
     private boolean isMarked(C connection) {
@@ -333,6 +367,14 @@
         }
     }
 
+    /** Closes a connection at once. An answer that is being written may be lost. */
+    void abort(C connection) {
+        if (removeOpen(connection)) {
+            closing.add(connection);
+        }
+        closer.closeNow(connection);
+    }
+
     /**
      * Records that the HTTP server itself closes the connection, for example at the client's
      * request. Has no effect on a connection that is already being closed.
@@ -353,6 +395,7 @@
         awaiting.remove(connection);
         idle.remove(connection);
         receiving.remove(connection);
+        answering.remove(connection);
         return open.remove(connection) != null;
     }
 
--- a/gatherer/src/main/java/sprucehold/clients/ClientServer.java
+++ b/gatherer/src/main/java/sprucehold/clients/ClientServer.java
@@ -65,15 +65,15 @@
     private final ClientConnections<HttpConnection> connections;
     private final ConnectionAdmission admission;
     private final ResponseWriter responses;
-    private final BodyMemory bodyMemory;
+    private final ClientMemory memory;
 
     /** Requests whose queries have no answer yet. Queries are compared by identity. */
     private final IdentityHashMap<Query, HttpServerRequest> openRequests = new IdentityHashMap<>();
 
     private boolean draining;
     private long clientsFoundDisconnected;
-    private long bodiesRefused;
-    private double bodyRefusalLoggedAtMs = Double.NEGATIVE_INFINITY;
+    private long refusedForMemory;
+    private double refusalLoggedAtMs = Double.NEGATIVE_INFINITY;
 
     /**
      * @param vertx Vert.x instance; all methods are called on its event loop
@@ -95,7 +95,7 @@
                 handler,
                 clock,
                 LingeringClose.LINGER_MS,
-                BodyMemory.ofHeap(RequestBody.MAX_BYTES));
+                ClientMemory.ofHeap(maxConnections));
     }
 
     ClientServer(
@@ -105,8 +105,8 @@
             QueryHandler handler,
             DoubleSupplier clock,
             long lingerMs,
-            BodyMemory bodyMemory) {
-        this.bodyMemory = bodyMemory;
+            ClientMemory memory) {
+        this.memory = memory;
         this.handler = handler;
         this.clock = clock;
         this.readPasses = new ReadPassTracker(clock);
@@ -119,7 +119,8 @@
                         .setHandle100ContinueAutomatically(true)
                         .setHttp2ClearTextEnabled(false);
         this.admission =
-                new ConnectionAdmission(vertx, connections, readPasses, clock, options, lingerMs);
+                new ConnectionAdmission(
+                        vertx, connections, readPasses, clock, options, lingerMs, memory);
         this.server = vertx.createHttpServer(options);
         server.connectionHandler(admission::opened);
         server.exceptionHandler(
@@ -173,7 +174,7 @@
         double earliestArrivalMs =
                 handler.earliestArrivalMs(
                         readPasses.passBeganAtMs(), connections.arrival(request.connection()));
-        var body = new RequestBody(bodyMemory);
+        var body = new RequestBody(RequestInput.of(request.connection()).memory());
         request.response().endHandler(none -> body.release());
         request.response().closeHandler(none -> body.release());
         request.handler(bytes -> append(request, body, bytes));
@@ -206,17 +207,17 @@
         }
     }
 
-    /** Rejects a request whose body is not received completely; asking again is harmless. */
+    /** Rejects a request that is not received completely; asking again is harmless. */
     private void rejectForLackOfMemory(HttpServerRequest request) {
-        bodiesRefused++;
+        refusedForMemory++;
         double nowMs = clock.getAsDouble();
-        if (nowMs - bodyRefusalLoggedAtMs >= REFUSAL_LOG_INTERVAL_MS) {
-            bodyRefusalLoggedAtMs = nowMs;
+        if (nowMs - refusalLoggedAtMs >= REFUSAL_LOG_INTERVAL_MS) {
+            refusalLoggedAtMs = nowMs;
             LOG.warning(
-                    "requests rejected, their bodies occupy too much memory: reserved_bytes="
-                            + bodyMemory.reservedBytes()
-                            + ", bodies_refused="
-                            + bodiesRefused);
+                    "requests rejected, clients occupy too much memory: reserved_bytes="
+                            + memory.reservedBytes()
+                            + ", requests_refused="
+                            + refusedForMemory);
         }
         responses.rejectAndClose(request, 503, "throttled");
     }
@@ -283,6 +284,7 @@
             return;
         }
         openRequests.put(query, request);
+        RequestInput.of(request.connection()).queryOpened();
         request.response()
                 .closeHandler(
                         none -> {
@@ -300,9 +302,10 @@
 
     /**
      * Returns whether the client of an unanswered query is still connected, judged by all input
-     * received on its connection up to now; unread input is read first. If the client has
-     * disconnected, this is reported to the {@link QueryHandler} at once, before the event loop
-     * reports the end of the connection.
+     * received on its connection up to now; unread input is read first. A client that has sent more
+     * than can be read at once counts as disconnected, and its connection is closed, since its
+     * close may lie behind. If the client has disconnected, this is reported to the {@link
+     * QueryHandler} at once, before the event loop reports the end of the connection.
      */
     public boolean isClientConnected(Query query) {
         HttpServerRequest request = openRequests.get(query);
@@ -314,6 +317,8 @@
         }
         clientsFoundDisconnected++;
         disconnected(query);
+        // Has no effect on a connection that is closed already.
+        connections.abort(request.connection());
         return false;
     }
 
@@ -326,11 +331,11 @@
     }
 
     /**
-     * Returns how many requests were rejected because the bodies of all requests occupied too much
+     * Returns how many requests were rejected because all clients together occupied too much
      * memory.
      */
-    public long bodiesRefused() {
-        return bodiesRefused;
+    public long refusedForMemory() {
+        return refusedForMemory;
     }
 
     /** Sends the final answer of a query, unless its client has disconnected. */
@@ -347,8 +352,13 @@
      */
     private void rejectUnreadable(HttpServerRequest request) {
         if (connections.requestBegun(request.connection())) {
-            int status = statusOfUnreadable(request.decoderResult().cause());
-            responses.rejectAndClose(request, status, "not a request that can be read");
+            Throwable cause = request.decoderResult().cause();
+            if (cause instanceof StrictDecoder.NoMemoryException) {
+                rejectForLackOfMemory(request);
+            } else {
+                responses.rejectAndClose(
+                        request, statusOfUnreadable(cause), "not a request that can be read");
+            }
         }
     }
 
--- a/gatherer/src/main/java/sprucehold/clients/ConnectionAdmission.java
+++ b/gatherer/src/main/java/sprucehold/clients/ConnectionAdmission.java
@@ -1,6 +1,7 @@
 package sprucehold.clients;
 
 import io.netty.channel.Channel;
+import io.netty.channel.EventLoop;
 import io.netty.channel.FixedRecvByteBufAllocator;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpConnection;
@@ -41,12 +42,15 @@
     private final DoubleSupplier clock;
     private final HttpServerOptions options;
     private final long lingerMs;
+    private final ClientMemory memory;
+    private PassScheduler passes;
     private boolean surplusCloseScheduled;
     private boolean markedCloseScheduled;
     private long overflows;
 
     /**
      * @param lingerMs time limit for the client's close, in milliseconds
+     * @param memory memory of all connections
      */
     ConnectionAdmission(
             Vertx vertx,
@@ -54,13 +58,15 @@
             ReadPassTracker readPasses,
             DoubleSupplier clock,
             HttpServerOptions options,
-            long lingerMs) {
+            long lingerMs,
+            ClientMemory memory) {
         this.vertx = vertx;
         this.connections = connections;
         this.readPasses = readPasses;
         this.clock = clock;
         this.options = options;
         this.lingerMs = lingerMs;
+        this.memory = memory;
     }
 
     /** Sets up an accepted connection. */
@@ -75,15 +81,26 @@
         connection.exceptionHandler(
                 failure -> LOG.log(Level.FINE, "exception on a client connection", failure));
         connection.closeHandler(none -> connections.closed(connection));
+        ClientMemory.Account account = memory.open();
+        DecodeBudget.Share budget = readPasses.decodeBudget().share();
+        var decoder = new StrictDecoder(options, account, budget);
+        var input =
+                new RequestInput(
+                        decoder,
+                        account,
+                        budget,
+                        passScheduler(channel.eventLoop()),
+                        () -> inputOverflowed(connection),
+                        () -> connections.abort(connection));
         var closing =
                 new LingeringClose(
                         lingerMs,
                         () -> readPasses.onRead(channel.eventLoop()),
-                        () -> inputOverflowed(connection),
-                        () -> connections.closingByHttpServer(connection));
-        channel.pipeline()
-                .addFirst(closing)
-                .replace(HTTP_DECODER, HTTP_DECODER, new StrictDecoder(options));
+                        () -> {
+                            input.ignore();
+                            connections.closingByHttpServer(connection);
+                        });
+        channel.pipeline().addFirst(closing, input).replace(HTTP_DECODER, HTTP_DECODER, decoder);
         double earliestConnectedAtMs =
                 clock.getAsDouble() - RetryingAcceptTransport.msSinceBacklogEmpty(channel);
         if (connections.opened(connection, earliestConnectedAtMs)) {
@@ -91,6 +108,13 @@
         }
     }
 
+    private PassScheduler passScheduler(EventLoop loop) {
+        if (passes == null) {
+            passes = new PassScheduler(loop, readPasses);
+        }
+        return passes;
+    }
+
     /**
      * Schedules the closing of surplus connections after the next pass over the sockets. A short
      * burst of connections is legitimate, so the bytes that their clients have sent are read first.
@@ -118,7 +142,7 @@
                     NEXT_PASS_DELAY_MS,
                     timer -> {
                         markedCloseScheduled = false;
-                        connections.closeMarked();
+                        closeMarkedIf(connections.closeMarked());
                     });
         }
     }
--- a/gatherer/src/main/java/sprucehold/clients/LingeringClose.java
+++ b/gatherer/src/main/java/sprucehold/clients/LingeringClose.java
@@ -17,10 +17,7 @@
  * the connection, and the kernel would then drop an answer that it had not yet delivered. Input
  * read after the shutdown never reaches the HTTP server, so no query from it is processed.
  *
- * <p>It is the first handler in the pipeline, so every close passes through it. Before the shutdown
- * it also continues to read when the HTTP server has stopped reading because pipelined requests
- * wait behind another request on the connection. Otherwise the disconnection of a client would be
- * detected only after its waiting requests had been processed one by one.
+ * <p>It is the first handler in the pipeline, so every close passes through it.
  */
 final class LingeringClose extends ChannelDuplexHandler {
     /**
@@ -36,13 +33,6 @@
      */
     private static final int MAX_DISCARDED_BYTES = 256 * 1024;
 
-    /**
-     * Limit on the input in bytes that is buffered behind a request. Clients send one request at a
-     * time on a connection, and 16 KiB is enough for dozens of requests of typical size. Multiplied
-     * by the number of connections it stays far below the memory limit of the process.
-     */
-    static final int MAX_BUFFERED_BYTES = 16 * 1024;
-
     private enum State {
         OPEN,
         /** The output is shut down; input is discarded. */
@@ -50,32 +40,23 @@
         CLOSED
     }
 
-    private final Runnable onOverflow;
     private final Runnable onClosing;
     private final Runnable onRead;
 
     private final long lingerMs;
     private State state = State.OPEN;
 
-    /** Input that the HTTP server has not asked for yet. */
-    private ByteBuf bufferedBytes = Unpooled.EMPTY_BUFFER;
-
-    private boolean deliveryScheduled;
-    private boolean overflowed;
     private int discardedBytes;
 
     /**
      * @param lingerMs time limit for the client's close, in milliseconds
      * @param onRead called on each read, before the bytes are processed
-     * @param onOverflow called when the client has sent more than the buffer limit; the buffered
-     *     bytes and all later ones are discarded
      * @param onClosing called when a lingering close begins, whether {@link ClientConnections} or
      *     the HTTP server initiated it; not called when the client closes first
      */
-    LingeringClose(long lingerMs, Runnable onRead, Runnable onOverflow, Runnable onClosing) {
+    LingeringClose(long lingerMs, Runnable onRead, Runnable onClosing) {
         this.lingerMs = lingerMs;
         this.onRead = onRead;
-        this.onOverflow = onOverflow;
         this.onClosing = onClosing;
     }
 
@@ -89,7 +70,8 @@
             return;
         }
         state = State.LINGERING;
-        dropBuffered();
+        // Reading may have been paused while a request arrived faster than it could be decoded.
+        context.channel().config().setAutoRead(true);
         onClosing.run();
         if (!context.channel().isActive() || !(context.channel() instanceof DuplexChannel)) {
             closeNow(context);
@@ -119,7 +101,6 @@
     void closeNow(ChannelHandlerContext context) {
         if (state != State.CLOSED) {
             state = State.CLOSED;
-            dropBuffered();
             context.close(context.newPromise());
         }
     }
@@ -133,75 +114,21 @@
             if (discardedBytes > MAX_DISCARDED_BYTES) {
                 closeNow(context);
             }
-        } else if (overflowed) {
-            ReferenceCountUtil.release(message);
-        } else if (context.channel().config().isAutoRead() && !bufferedBytes.isReadable()) {
-            context.fireChannelRead(message);
         } else {
-            bufferInput((ByteBuf) message);
-        }
-    }
-
-    /** Buffers bytes until the HTTP server reads again. */
-    private void bufferInput(ByteBuf bytes) {
-        try {
-            if (bufferedBytes.readableBytes() + bytes.readableBytes() > MAX_BUFFERED_BYTES) {
-                overflowed = true;
-                dropBuffered();
-                onOverflow.run();
-            } else {
-                if (!bufferedBytes.isReadable()) {
-                    bufferedBytes = Unpooled.buffer(bytes.readableBytes());
-                }
-                bufferedBytes.writeBytes(bytes);
-            }
-        } finally {
-            bytes.release();
+            context.fireChannelRead(message);
         }
     }
 
-    private void dropBuffered() {
-        bufferedBytes.release();
-        bufferedBytes = Unpooled.EMPTY_BUFFER;
-    }
-
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
         if (state == State.OPEN) {
             context.fireChannelReadComplete();
         }
-        // Keep reading even when the HTTP server doesn't, in order to detect the client's close.
-        if (state != State.CLOSED && !context.channel().config().isAutoRead()) {
-            context.read();
-        }
-    }
-
-    /** Called when the HTTP server reads again; delivers the buffered bytes first. */
-    @Override
-    public void read(ChannelHandlerContext context) {
-        if (bufferedBytes.isReadable() && !deliveryScheduled) {
-            deliveryScheduled = true;
-            context.executor()
-                    .execute(
-                            () -> {
-                                deliveryScheduled = false;
-                                if (state == State.OPEN
-                                        && bufferedBytes.isReadable()
-                                        && context.channel().config().isAutoRead()) {
-                                    ByteBuf bytes = bufferedBytes;
-                                    bufferedBytes = Unpooled.EMPTY_BUFFER;
-                                    context.fireChannelRead(bytes);
-                                    context.fireChannelReadComplete();
-                                }
-                            });
-        }
-        context.read();
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         state = State.CLOSED;
-        dropBuffered();
         context.fireChannelInactive();
     }
 
--- a/gatherer/src/main/java/sprucehold/clients/ReadPassTracker.java
+++ b/gatherer/src/main/java/sprucehold/clients/ReadPassTracker.java
@@ -10,6 +10,7 @@
  */
 final class ReadPassTracker {
     private final DoubleSupplier clock;
+    private final DecodeBudget decodeBudget = new DecodeBudget();
     private double passBeganAtMs = Double.NaN;
 
     ReadPassTracker(DoubleSupplier clock) {
@@ -24,10 +25,16 @@
     void onRead(Executor loop) {
         if (Double.isNaN(passBeganAtMs)) {
             passBeganAtMs = clock.getAsDouble();
+            decodeBudget.passBegan();
             loop.execute(() -> passBeganAtMs = Double.NaN);
         }
     }
 
+    /** Returns the budget of the work of decoding in each pass. */
+    DecodeBudget decodeBudget() {
+        return decodeBudget;
+    }
+
     /** Returns when the current pass began, in milliseconds, or the current time outside a pass. */
     double passBeganAtMs() {
         return Double.isNaN(passBeganAtMs) ? clock.getAsDouble() : passBeganAtMs;
--- a/gatherer/src/main/java/sprucehold/clients/RequestBody.java
+++ b/gatherer/src/main/java/sprucehold/clients/RequestBody.java
@@ -6,8 +6,8 @@
 import java.util.Arrays;
 
 /**
- * Body of one request: its bytes until it is read as a query, and its reservation in {@link
- * BodyMemory} until the request is answered, since the open query then holds the text of the body.
+ * Body of one request: its bytes until it is read as a query, and its share of the connection's
+ * memory until the request is answered, since the open query then holds the text of the body.
  */
 final class RequestBody {
     /** Limit on the size of a body, in bytes. */
@@ -20,17 +20,16 @@
         YES,
         /** The body is longer than {@link #MAX_BYTES}. */
         TOO_LONG,
-        /** The bodies of all requests together occupy too much memory. */
+        /** All clients together occupy too much memory. */
         NO_MEMORY
     }
 
-    private final BodyMemory memory;
+    private final ClientMemory.Account memory;
     private byte[] bytes = NO_BYTES;
     private int length;
-    private int reservedFor;
     private boolean released;
 
-    RequestBody(BodyMemory memory) {
+    RequestBody(ClientMemory.Account memory) {
         this.memory = memory;
     }
 
@@ -53,10 +52,9 @@
 
     private boolean grow(int minCapacity) {
         int capacity = Math.max(minCapacity, Math.min(MAX_BYTES, 2 * bytes.length));
-        if (!memory.resize(reservedFor, capacity)) {
+        if (!memory.resize(ClientMemory.Use.BODY, capacity)) {
             return false;
         }
-        reservedFor = capacity;
         bytes = Arrays.copyOf(bytes, capacity);
         return true;
     }
@@ -67,8 +65,7 @@
     InputStream take() {
         var taken = new ByteArrayInputStream(bytes, 0, length);
         bytes = NO_BYTES;
-        memory.resize(reservedFor, length);
-        reservedFor = length;
+        memory.resize(ClientMemory.Use.BODY, length);
         return taken;
     }
 
@@ -77,7 +74,7 @@
         if (!released) {
             released = true;
             bytes = NO_BYTES;
-            memory.resize(reservedFor, 0);
+            memory.resize(ClientMemory.Use.BODY, 0);
         }
     }
 }
--- a/gatherer/src/main/java/sprucehold/clients/ResponseWriter.java
+++ b/gatherer/src/main/java/sprucehold/clients/ResponseWriter.java
@@ -8,6 +8,8 @@
 
 /** Writes responses, and decides for each whether it is the last on its connection. */
 final class ResponseWriter {
+    private static final String ABANDONED = "abandoned";
+
     private final ClientConnections<HttpConnection> connections;
 
     /** Number of responses that aren't completely written. */
@@ -33,15 +35,28 @@
     void end(HttpServerRequest request, Answer answer) {
         HttpServerResponse response = request.response();
         if (answer instanceof Answer.Completed completed) {
-            response.putHeader("Content-Type", "application/json");
-            end(request, 200, Buffer.buffer(AnswerWriter.body(completed)));
+            endCompleted(request, Buffer.buffer(AnswerWriter.body(completed)));
         } else if (answer instanceof Answer.Rejected rejected) {
             if (rejected.retryAfterMs() > 0) {
                 response.putHeader("Retry-After", AnswerWriter.seconds(rejected.retryAfterMs()));
             }
             end(request, 503, "throttled");
         } else {
-            end(request, 502, "abandoned");
+            end(request, 502, ABANDONED);
+        }
+    }
+
+    /**
+     * Writes a completed answer. If unread answers occupy too much memory, the query fails instead:
+     * its parts have run, so the client can't be told that asking again is harmless.
+     */
+    private void endCompleted(HttpServerRequest request, Buffer body) {
+        ClientMemory.Account memory = RequestInput.of(request.connection()).memory();
+        if (memory.resize(ClientMemory.Use.ANSWER, body.length())) {
+            request.response().putHeader("Content-Type", "application/json");
+            end(request, 200, body);
+        } else {
+            end(request, 502, ABANDONED);
         }
     }
 
@@ -80,9 +95,14 @@
             return;
         }
         HttpConnection connection = request.connection();
+        RequestInput input = RequestInput.of(connection);
+        input.answerBegun();
         if (last) {
             response.putHeader("Connection", "close");
             connections.lastAnswerBegun(connection);
+            input.ignore();
+        } else {
+            connections.answerBegun(connection);
         }
         pendingWrites++;
         response.setStatusCode(status)
@@ -90,10 +110,12 @@
                 .onComplete(
                         done -> {
                             pendingWrites--;
+                            input.memory().resize(ClientMemory.Use.ANSWER, 0);
                             if (last) {
                                 connections.close(connection);
                             } else {
                                 connections.answered(connection);
+                                input.answerWritten();
                             }
                         });
     }
--- a/gatherer/src/main/java/sprucehold/clients/StubClient.java
+++ b/gatherer/src/main/java/sprucehold/clients/StubClient.java
@@ -17,8 +17,12 @@
  * the warm-up where the process may not open sockets.
  */
 public final class StubClient {
-    private final EmbeddedChannel decoder =
-            new EmbeddedChannel(new StrictDecoder(new HttpServerOptions()));
+    private final StrictDecoder strictDecoder =
+            new StrictDecoder(
+                    new HttpServerOptions(),
+                    new ClientMemory(RequestBody.MAX_BYTES, 0).open(),
+                    new DecodeBudget().share());
+    private final EmbeddedChannel decoder = new EmbeddedChannel(strictDecoder);
     private final QueryReader reader;
 
     /**
@@ -43,6 +47,7 @@
             body.writeBytes(content.content());
             content.release();
         }
+        strictDecoder.answerWritten();
         try {
             return reader.read(
                     head.uri().substring(1),
--- a/gatherer/src/main/java/sprucehold/shards/ShardConnection.java
+++ b/gatherer/src/main/java/sprucehold/shards/ShardConnection.java
@@ -296,7 +296,11 @@
      * isn't established yet the result is true.
      */
     boolean isStillOpen() {
-        return socket == null || (UnreadInput.readAll(channel()) && !closed);
+        if (socket == null) {
+            return true;
+        }
+        UnreadInput.readAll(channel());
+        return channel().isActive() && !closed;
     }
 
     /** Writes a call, whose parts all belong to one query. No other method writes attempts. */
--- a/gatherer/src/main/java/sprucehold/sockets/UnreadInput.java
+++ b/gatherer/src/main/java/sprucehold/sockets/UnreadInput.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.Channel;
 import io.netty.channel.nio.AbstractNioChannel;
+import java.util.function.BooleanSupplier;
 
 /**
  * Reads the input of a connection that is in the kernel's receive buffer and that the event loop
@@ -11,9 +12,9 @@
  */
 public final class UnreadInput {
     /**
-     * Limit on the bytes read in one call. It exceeds the kernel's maximum receive buffer of a
-     * connection (Linux, tcp_rmem: 6 MiB by default), so everything that was unread at the time of
-     * the call is read. It also ends the call when the sender is faster than the reader.
+     * Limit on the bytes read in one call of {@link #readAll}. It exceeds the kernel's default
+     * maximum of the receive buffer of a connection (Linux, tcp_rmem: 6 MiB), so that normally
+     * everything that was unread at the time of the call is read.
      */
     private static final int MAX_BYTES = 8 * 1024 * 1024;
 
@@ -24,18 +25,34 @@
      * passes the input to the channel's handlers as any other read does. Must be called on the
      * connection's event loop, and not during a read of the same connection.
      *
-     * @return whether the connection is open, judged by all input received up to now
+     * @return whether the connection is open, judged by all input received up to now; false as well
+     *     if more input was unread than the limit on one call, so that its end isn't known
      */
     public static boolean readAll(Channel channel) {
-        if (channel.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe) {
-            int lastBytes = 1;
-            for (int bytes = 0;
-                    bytes < MAX_BYTES && lastBytes > 0 && channel.isActive();
-                    bytes += lastBytes) {
-                unsafe.read();
-                lastBytes = unsafe.recvBufAllocHandle().lastBytesRead();
+        return readWhile(channel, MAX_BYTES, () -> true) && channel.isActive();
+    }
+
+    /**
+     * Reads until the receive buffer is empty, a limit is reached or a condition no longer holds.
+     *
+     * @param maxBytes limit on the bytes read, which the last read may exceed
+     * @param condition is evaluated before each read
+     * @return whether the receive buffer is empty, or the connection closed
+     */
+    public static boolean readWhile(Channel channel, int maxBytes, BooleanSupplier condition) {
+        if (!(channel.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe)) {
+            return true;
+        }
+        int lastBytes = 1;
+        int bytes = 0;
+        while (lastBytes > 0 && channel.isActive()) {
+            if (bytes >= maxBytes || !condition.getAsBoolean()) {
+                return false;
             }
+            unsafe.read();
+            lastBytes = unsafe.recvBufAllocHandle().lastBytesRead();
+            bytes += lastBytes;
         }
-        return channel.isActive();
+        return true;
     }
 }
--- a/gatherer/src/test/java/sprucehold/clients/ClientServerTest.java
+++ b/gatherer/src/test/java/sprucehold/clients/ClientServerTest.java
@@ -63,6 +63,9 @@
     /** Memory for bodies that are not small, in bytes: two of half the maximum size. */
     private static final long BODY_MEMORY_BYTES = 2 * RequestBody.MAX_BYTES;
 
+    /** Memory that each connection may hold beside it, in bytes. */
+    private static final long FREE_BYTES = 8 * 1024;
+
     private Vertx vertx;
     private TestLoop loop;
     private ClientServer server;
@@ -74,7 +77,7 @@
     private BlockingQueue<Query> received;
     private BlockingQueue<Query> disconnected;
     private BlockingQueue<ConnectionArrival> arrivals;
-    private BodyMemory bodyMemory;
+    private ClientMemory bodyMemory;
     private boolean inPass;
     private int requestsInPass;
     private volatile int maxRequestsInPass;
@@ -91,7 +94,7 @@
         unreadForMs = 0;
         inPass = false;
         maxRequestsInPass = 0;
-        bodyMemory = new BodyMemory(BODY_MEMORY_BYTES, RequestBody.MAX_BYTES);
+        bodyMemory = new ClientMemory(BODY_MEMORY_BYTES, FREE_BYTES);
         received = new LinkedBlockingQueue<>();
         disconnected = new LinkedBlockingQueue<>();
         arrivals = new LinkedBlockingQueue<>();
--- a/gatherer/src/test/java/sprucehold/command/RequestBurstTest.java
+++ b/gatherer/src/test/java/sprucehold/command/RequestBurstTest.java
@@ -41,6 +41,14 @@
                     + "\"limits\":{\"dialTimeoutMs\":250,\"idleCloseMs\":15000,"
                     + "\"streamsPerConn\":64,\"sendCap\":4}}";
 
+    private static final String SHORT =
+            "GET /up HTTP/1.1\r\nHost: a\r\n" + "a: b\r\n".repeat(8) + "\r\n";
+
+    private static final String SHORT_1_0 =
+            "GET /up HTTP/1.0\r\nConnection: keep-alive\r\n" + "a: b\r\n".repeat(5) + "\r\n";
+
+    private static final String SHORTEST = "GET / HTTP/1.1\r\n\r\n";
+
     private RecordingShardServer first;
     private RecordingShardServer second;
     private ServeProcess gatherer;
@@ -113,6 +121,11 @@
         return "a:b\r\n".repeat(bytes / "a:b\r\n".length());
     }
 
+    /** A query and many short requests behind it, on one connection. */
+    private static String behindQuery(int client, String request, int count) {
+        return request("b" + client, oneShard(300)) + request.repeat(count);
+    }
+
     @DataProvider
     Object[][] bursts() {
         String largest = oneShard(MAX_BODY_BYTES);
@@ -139,6 +152,11 @@
                     "large after small",
                     CLIENTS,
                     i -> request("b" + i, small) + request("c" + i, largest)),
+            burst("short requests behind a query", CLIENTS, i -> behindQuery(i, SHORT, 200)),
+            burst("shortest requests behind a query", CLIENTS, i -> behindQuery(i, SHORTEST, 900)),
+            burst("short requests of HTTP/1.0", CLIENTS, i -> behindQuery(i, SHORT_1_0, 200)),
+            burst("short requests alone", IDLE_CLIENTS, i -> SHORT.repeat(2000)),
+            burst("short requests without a path", CLIENTS, i -> SHORTEST.repeat(4000)),
             unfinished("unfinished bodies", i -> request("u" + i, largest)),
             unfinished("unfinished chunks", i -> chunked("u" + i, largest, 4096, "")),
             unfinished("unfinished heads", i -> "GET /q HTTP/1.1\r\n" + fields + "\r\n"),
