Refuse a request whose body has two lengths, in every HTTP version

Cause: the check for Content-Length beside Transfer-Encoding stood in a method that the decoder calls for HTTP/1.1 only. The same class: of several Content-Length fields in HTTP/1.0 the decoder keeps the first, and it reads chunk sizes modulo 2^32.

After such a request nothing more of its connection is decoded.

Why it works: no request with an ambiguous end gets past the decoder, so no byte behind it is taken for a request.

--- a/gatherer/src/main/java/sprucehold/clients/StrictDecoder.java
+++ b/gatherer/src/main/java/sprucehold/clients/StrictDecoder.java
@@ -3,10 +3,15 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.util.AsciiString;
+import io.netty.util.ReferenceCountUtil;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.impl.VertxHttpRequestDecoder;
 import java.util.List;
@@ -17,8 +22,9 @@
  * its bytes, so requests wait undecoded. What it may not decode yet stays in its buffer; {@link
  * RequestInput} makes it go on.
  *
- * <p>It also limits the number of header fields, since a field of a few bytes occupies hundreds of
- * bytes once it is decoded, and reserves the memory of each head.
+ * <p>It rejects requests whose end is ambiguous. It also limits the number of header fields, since
+ * a field of a few bytes occupies hundreds of bytes once it is decoded, and reserves the memory of
+ * each head.
  */
 final class StrictDecoder extends VertxHttpRequestDecoder {
     /**
@@ -42,6 +48,11 @@
     private final DecodeBudget.Share budget;
 
     private int fields;
+    private int lengthFields;
+
+    /** Follows the body of the current request; null unless it arrives in chunks. */
+    private ChunkSizes chunkSizes;
+
     private long headBytes;
     private boolean headComplete;
     private boolean answerPending;
@@ -94,12 +105,15 @@
         if (answerPending || !budget.take()) {
             return;
         }
-        int readableBefore = bytes.readableBytes();
+        int from = bytes.readerIndex();
         super.decode(context, bytes, out);
-        if (!headComplete) {
-            headBytes += readableBefore - bytes.readableBytes();
+        if (headComplete) {
+            checkChunkSizes(bytes, from, out);
+        } else {
+            headBytes += bytes.readerIndex() - from;
             headComplete = !out.isEmpty();
             reserveHead(bytes, out);
+            checkLengths(bytes, out);
         }
         if (!out.isEmpty() && out.get(out.size() - 1) instanceof LastHttpContent) {
             answerPending = true;
@@ -115,22 +129,56 @@
         }
     }
 
+    /**
+     * Fails a request whose end another program might see elsewhere, whatever its HTTP version: the
+     * bytes behind the nearer end would be a request to one, and part of the body to the other
+     * (request smuggling).
+     */
+    private void checkLengths(ByteBuf bytes, List<Object> out) {
+        if (!stopped && !out.isEmpty() && out.get(0) instanceof HttpRequest request) {
+            boolean encoded = request.headers().contains(HttpHeaderNames.TRANSFER_ENCODING);
+            chunkSizes = encoded ? new ChunkSizes() : null;
+            if (lengthFields > 1 || (encoded && lengthFields > 0)) {
+                fail(new IllegalArgumentException("more than one length of a body"), bytes, out);
+            } else if (encoded && !request.protocolVersion().equals(HttpVersion.HTTP_1_1)) {
+                fail(new IllegalArgumentException("Transfer-Encoding needs HTTP/1.1"), bytes, out);
+            }
+        }
+    }
+
+    /** Fails a body if the size of a chunk can't be read without loss. */
+    private void checkChunkSizes(ByteBuf bytes, int from, List<Object> out) {
+        if (chunkSizes != null && !chunkSizes.accept(bytes, from, bytes.readerIndex())) {
+            dropAll(bytes, out);
+            var invalid = new DefaultLastHttpContent();
+            invalid.setDecoderResult(
+                    DecoderResult.failure(new IllegalArgumentException("chunk size too long")));
+            out.add(invalid);
+        }
+    }
+
     /**
      * Replaces what was decoded of a request by an invalid request, and drops all further input: it
      * isn't known, or doesn't matter, where the next request begins.
      */
     private void fail(RuntimeException cause, ByteBuf bytes, List<Object> out) {
-        stopped = true;
-        bytes.skipBytes(bytes.readableBytes());
-        out.clear();
+        dropAll(bytes, out);
         HttpMessage invalid = createInvalidMessage();
         invalid.setDecoderResult(DecoderResult.failure(cause));
         out.add(invalid);
     }
 
+    private void dropAll(ByteBuf bytes, List<Object> out) {
+        stopped = true;
+        bytes.skipBytes(bytes.readableBytes());
+        out.forEach(ReferenceCountUtil::release);
+        out.clear();
+    }
+
     @Override
     protected HttpMessage createMessage(String[] initialLine) {
         fields = 0;
+        lengthFields = 0;
         return super.createMessage(initialLine);
     }
 
@@ -140,11 +188,15 @@
         if (fields > MAX_FIELDS) {
             throw new TooLongHttpHeaderException("more than " + MAX_FIELDS + " header fields");
         }
-        return super.splitHeaderName(line, start, length);
+        AsciiString name = super.splitHeaderName(line, start, length);
+        // Counted here, since the decoder reduces several such fields of HTTP/1.0 to the first.
+        if (name.contentEqualsIgnoreCase(HttpHeaderNames.CONTENT_LENGTH)) {
+            lengthFields++;
+        }
+        return name;
     }
 
+    /** Leaves both fields in place, for {@link #checkLengths}. */
     @Override
-    protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
-        throw new IllegalArgumentException("request has both Transfer-Encoding and Content-Length");
-    }
+    protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {}
 }
--- a/gatherer/src/test/java/sprucehold/clients/ClientServerTest.java
+++ b/gatherer/src/test/java/sprucehold/clients/ClientServerTest.java
@@ -329,6 +329,62 @@
         }
     }
 
+    private static String ofVersion(String version, String headers, String content) {
+        return framed(headers, content).replace("HTTP/1.1", "HTTP/" + version);
+    }
+
+    @DataProvider
+    Object[][] hidingRequests() {
+        String hidden = post("/q", "hidden", BODY);
+        String length = "Content-Length: " + (5 + hidden.length());
+        String chunked = "Transfer-Encoding: chunked";
+        String keepAlive = "Connection: keep-alive\r\n";
+        String lastChunk = "0\r\n\r\n" + hidden;
+        var requests = new ArrayList<Object[]>();
+        for (String version : List.of("1.0", "1.1", "1.2")) {
+            for (String headers :
+                    List.of(
+                            length + "\r\n" + chunked,
+                            chunked + "\r\n" + length,
+                            chunked + "\r\nX-Other: 1\r\n" + length,
+                            chunked + "\r\ncontent-length:0",
+                            "transfer-encoding:\tCHUNKED\r\n" + length,
+                            length + "\r\nTransfer-Encoding: identity",
+                            "Content-Length: 0\r\n" + length,
+                            length + "\r\nContent-Length: 0",
+                            "Content-Length: 0\r\nContent-Length: 0")) {
+                requests.add(new Object[] {ofVersion(version, keepAlive + headers, lastChunk)});
+            }
+        }
+        requests.add(new Object[] {ofVersion("1.0", keepAlive + chunked, lastChunk)});
+        for (String size :
+                List.of("100000000", "00100000000", "10000000000000000", "f00000000;a=b")) {
+            requests.add(new Object[] {framed(chunked, size + "\r\n\r\n" + hidden)});
+            requests.add(new Object[] {framed(chunked, "1\r\n{\r\n" + size + "\r\n\r\n" + hidden)});
+        }
+        return requests.toArray(Object[][]::new);
+    }
+
+    /**
+     * Guards against a request that is passed on although it is part of the body of another by one
+     * of two lengths, in every HTTP version and however its bytes are divided into packets.
+     */
+    @Test(dataProvider = "hidingRequests")
+    public void requestHiddenInABodyIsNotProcessed(String request) throws Exception {
+        immediateAnswer = HIT;
+        try (Socket whole = connect(request);
+                Socket pieces = connect("")) {
+            String response = readToEnd(whole);
+            assertTrue(response.matches("(?s)HTTP/1.[01] [45].*"), response);
+            pieces.setTcpNoDelay(true);
+            for (byte one : request.getBytes(StandardCharsets.UTF_8)) {
+                pieces.getOutputStream().write(one);
+            }
+            assertTrue(readToEnd(pieces).matches("(?s)HTTP/1.[01] [45].*"));
+        }
+        assertTrue(received.isEmpty(), String.valueOf(received));
+    }
+
     private static String largest() {
         return BODY + " ".repeat(RequestBody.MAX_BYTES - BODY.length());
     }
