Keep no table of the names in clients' bodies, which ended the process

Cause: QueryReader's JsonFactory keeps a table of the names it has read, limited in names but not in bytes, and a name may be as long as a body.

Why it works: nothing of a body outlives its request any more.

--- a/gatherer/src/main/java/sprucehold/clients/QueryReader.java
+++ b/gatherer/src/main/java/sprucehold/clients/QueryReader.java
@@ -1,5 +1,6 @@
 package sprucehold.clients;
 
+import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.StreamReadFeature;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -40,8 +41,18 @@
  * </table>
  */
 final class QueryReader {
+    /**
+     * Keeps no table of the names it has read, since clients may send ever new ones of up to the
+     * length of a body.
+     */
+    private static final JsonFactory NAMES_NOT_KEPT =
+            JsonFactory.builder()
+                    .disable(JsonFactory.Feature.CANONICALIZE_FIELD_NAMES)
+                    .disable(JsonFactory.Feature.INTERN_FIELD_NAMES)
+                    .build();
+
     private static final ObjectMapper JSON =
-            JsonMapper.builder()
+            JsonMapper.builder(NAMES_NOT_KEPT)
                     .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
                     .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
                     .build();
