--- a/cluster/src/main/java/sprucehold/cluster/allowance/AllowanceTable.java
+++ b/cluster/src/main/java/sprucehold/cluster/allowance/AllowanceTable.java
@@ -95,11 +95,12 @@
     /**
      * Records a received query.
      *
-     * @param tenant the query's tenant; null if the query has none
+     * @param tenant the query's tenant, which is ignored unless the deployment knows it; null if
+     *     the query has none
      * @param shards shards of the query's parts
      */
     public void queryReceived(double countedMs, String tenant, List<Integer> shards) {
-        if (tenant != null) {
+        if (tenant != null && isTenant(tenant)) {
             queriesByTenant.computeIfAbsent(tenant, none -> new DemandRate()).add(countedMs, 1);
         }
         slowStart.partsReceived(countedMs, shards);
@@ -141,9 +142,16 @@
     }
 
     private boolean isUnknownTenant(SharedLimit limit) {
-        return limit.kind() == SharedLimit.Kind.TENANT_QUOTA
-                && deployment.tenants().stream()
-                        .noneMatch(tenant -> tenant.name().equals(limit.subject()));
+        return limit.kind() == SharedLimit.Kind.TENANT_QUOTA && !isTenant(limit.subject());
+    }
+
+    private boolean isTenant(String name) {
+        return deployment.tenants().stream().anyMatch(tenant -> tenant.name().equals(name));
+    }
+
+    /** Returns the number of tenants whose demand is known, for tests that look for leaks. */
+    int trackedTenants() {
+        return queriesByTenant.size();
     }
 
     /**
--- a/cluster/src/test/java/sprucehold/cluster/allowance/AllowanceTableTest.java
+++ b/cluster/src/test/java/sprucehold/cluster/allowance/AllowanceTableTest.java
@@ -242,6 +242,18 @@
         assertEquals(gatherer.allowances.clusterView(0, WALL).allowances(), Map.of());
     }
 
+    /** Guards against memory that grows with the names of tenants that clients make up. */
+    @Test
+    public void demandOfTenantsIsKeptForThoseOfTheDeploymentOnly() {
+        var gatherer = new TestGatherer("a-0");
+        gatherer.start(0, List.of("a-0", "b-0"), 1);
+        for (int i = 0; i < 1000; i++) {
+            gatherer.allowances.queryReceived(i, "unknown" + i, List.of(0));
+            gatherer.allowances.queryReceived(i, "acme", List.of(0));
+        }
+        assertEquals(gatherer.allowances.trackedTenants(), 1);
+    }
+
     @DataProvider
     Object[][] scenarios() {
         var rows = new ArrayList<Object[]>();
