--- a/core/src/main/java/sprucehold/coordinator/Attempt.java
+++ b/core/src/main/java/sprucehold/coordinator/Attempt.java
@@ -101,6 +101,11 @@
         return pending;
     }
 
+    /** Returns whether the part has run, may have run or may still run by this attempt. */
+    boolean mayRun() {
+        return !neverRan;
+    }
+
     /** Returns whether this attempt was cancelled because its timeout expired. */
     boolean isTimedOut() {
         return timedOut;
--- a/core/src/main/java/sprucehold/coordinator/OpenPart.java
+++ b/core/src/main/java/sprucehold/coordinator/OpenPart.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import sprucehold.decision.QueryClass;
 
 /**
  * One part of a query and all attempts of the part. It is kept until the query is closed and no
@@ -32,6 +33,12 @@
         return query.id() + "." + shard;
     }
 
+    /** Returns whether the part must not run again because an attempt may have run it. */
+    boolean isSpent() {
+        return query.queryClass().idempotence() != QueryClass.Idempotence.IDEMPOTENT
+                && attempts.stream().anyMatch(Attempt::mayRun);
+    }
+
     boolean hasPendingAttempt() {
         return attempts.stream().anyMatch(Attempt::isPending);
     }
--- a/core/src/main/java/sprucehold/coordinator/OpenQueries.java
+++ b/core/src/main/java/sprucehold/coordinator/OpenQueries.java
@@ -20,6 +20,8 @@
                     Comparator.<OpenQuery>comparingDouble(query -> query.deadlineAtMs)
                             .thenComparing(query -> query.query.id()));
 
+    private final SpentQueryIds spentIds = new SpentQueryIds();
+
     /** Number of parts of all open queries. */
     private int openParts;
 
@@ -50,6 +52,11 @@
                         .anyMatch(part -> parts.containsKey(OpenPart.idOf(query, part.shard())));
     }
 
+    /** Returns whether a closed query with the same id has a part that must not run again. */
+    boolean isSpent(Query query) {
+        return spentIds.contains(query.id());
+    }
+
     int size() {
         return queries.size();
     }
@@ -71,8 +78,10 @@
 
     /** Removes a part if its query is closed and no attempt of the part is pending. */
     void removeIfDone(OpenPart part) {
-        if (part.query.isClosed() && !part.hasPendingAttempt()) {
-            parts.remove(part.id, part);
+        if (part.query.isClosed() && !part.hasPendingAttempt() && parts.remove(part.id, part)) {
+            if (part.isSpent()) {
+                spentIds.add(part.query.query.id());
+            }
         }
     }
 
--- a/core/src/main/java/sprucehold/coordinator/QueryCoordinator.java
+++ b/core/src/main/java/sprucehold/coordinator/QueryCoordinator.java
@@ -110,6 +110,14 @@
         return openQueries.isOpen(query);
     }
 
+    /**
+     * Returns whether a closed query with the same id has a part that may have run and must not run
+     * again. The latest such queries are known.
+     */
+    public boolean isSpent(Query query) {
+        return openQueries.isSpent(query);
+    }
+
     /** Returns the number of queries and parts that count towards the limit of open ones. */
     public int openQueriesAndParts() {
         return openQueries.queriesAndParts();
--- a/core/src/test/java/sprucehold/coordinator/QueryCoordinatorTest.java
+++ b/core/src/test/java/sprucehold/coordinator/QueryCoordinatorTest.java
@@ -38,8 +38,6 @@
     public void createCoordinator() {
         script.clear();
         eventBatches.clear();
-        var queryClass =
-                new QueryClass("q", QueryClass.Idempotence.IDEMPOTENT, 100, 1, 0, 0, 1, 1, 0);
         coordinator =
                 new QueryCoordinator(
                         (now, events) -> {
@@ -50,18 +48,7 @@
                             }
                             return commands;
                         },
-                        new Deployment(
-                                1,
-                                "z",
-                                5,
-                                1,
-                                List.of(queryClass),
-                                List.of(new Tenant("acme", 9)),
-                                new Deployment.ShardLayout(1, 1, 1),
-                                new Deployment.Limits(4, 5, true, true, 0),
-                                new Deployment.SlowStartRule(1, 0, 1, 0),
-                                Deployment.RetryBudget.NONE,
-                                new Deployment.EndpointSubscription(false, 0)));
+                        deployment(QueryClass.Idempotence.IDEMPOTENT));
         coordinator.observe(
                 0,
                 List.of(
@@ -78,6 +65,21 @@
         eventBatches.clear();
     }
 
+    private static Deployment deployment(QueryClass.Idempotence idempotence) {
+        return new Deployment(
+                1,
+                "z",
+                5,
+                1,
+                List.of(new QueryClass("q", idempotence, 100, 1, 0, 0, 1, 1, 0)),
+                List.of(new Tenant("acme", 9)),
+                new Deployment.ShardLayout(1, 1, 1),
+                new Deployment.Limits(4, 5, true, true, 0),
+                new Deployment.SlowStartRule(1, 0, 1, 0),
+                Deployment.RetryBudget.NONE,
+                new Deployment.EndpointSubscription(false, 0));
+    }
+
     private static final Command THROW = new Command.LogMessage("throw");
 
     private static Command send(String partId) {
@@ -93,6 +95,48 @@
         return coordinator.observe(now, List.of(new Observation.AttemptEnded(attempt, result)));
     }
 
+    @DataProvider
+    Object[][] repeatedIds() {
+        var written = new AttemptResult.Cancelled(WriteProgress.WRITTEN);
+        var notWritten = new AttemptResult.Cancelled(WriteProgress.NOT_WRITTEN);
+        return new Object[][] {
+            {QueryClass.Idempotence.NON_IDEMPOTENT, written, true},
+            {QueryClass.Idempotence.DEDUPLICATED, written, true},
+            {QueryClass.Idempotence.IDEMPOTENT, written, false},
+            {QueryClass.Idempotence.NON_IDEMPOTENT, notWritten, false},
+            {QueryClass.Idempotence.NON_IDEMPOTENT, COMPLETED, true},
+            {QueryClass.Idempotence.NON_IDEMPOTENT, new AttemptResult.Rejected(null), false},
+        };
+    }
+
+    /** Guards against an id that runs twice when it comes again after its client has left. */
+    @Test(dataProvider = "repeatedIds")
+    public void idIsSpentIfItsQueryMayHaveRunAndMustNotRunAgain(
+            QueryClass.Idempotence idempotence, AttemptResult result, boolean spent) {
+        coordinator.updateDeployment(0, deployment(idempotence));
+        Query query = query("s", null, 1);
+        script.add(List.of(send("s.0")));
+        Attempt attempt = coordinator.submit(1, query).attemptsToSend().get(0);
+        coordinator.observe(2, List.of(new Observation.ClientDisconnected(query)));
+        assertTrue(coordinator.isOpen(query));
+        endAttempt(3, attempt, result);
+        assertFalse(coordinator.isOpen(query));
+        assertEquals(coordinator.isSpent(query("s", null, 1)), spent);
+        assertFalse(coordinator.isSpent(query("t", null, 1)));
+    }
+
+    @Test
+    public void spentIdsAreBoundedInBytesAndTheLatestAreKept() {
+        var ids = new SpentQueryIds();
+        int count = 3 * SpentQueryIds.MAX_BYTES / SpentQueryIds.ENTRY_BYTES;
+        for (int i = 0; i < count; i++) {
+            ids.add("id" + i);
+        }
+        assertTrue(ids.size() * SpentQueryIds.ENTRY_BYTES <= SpentQueryIds.MAX_BYTES);
+        assertTrue(ids.contains("id" + (count - 1)));
+        assertFalse(ids.contains("id0"));
+    }
+
     @DataProvider
     Object[][] outcomes() {
         return new Object[][] {
--- a/gatherer/src/main/java/sprucehold/clients/ClientServer.java
+++ b/gatherer/src/main/java/sprucehold/clients/ClientServer.java
@@ -283,6 +283,10 @@
             responses.end(request, 400, "a scan of this id is open");
             return;
         }
+        if (handler.isSpent(query)) {
+            responses.end(request, 400, "a scan of this id has run");
+            return;
+        }
         openRequests.put(query, request);
         RequestInput.of(request.connection()).queryOpened();
         request.response()
--- a/gatherer/src/main/java/sprucehold/clients/QueryHandler.java
+++ b/gatherer/src/main/java/sprucehold/clients/QueryHandler.java
@@ -16,6 +16,12 @@
     /** Returns whether a query with the same id is open. */
     boolean isOpen(Query query);
 
+    /**
+     * Returns whether a query with the same id was received before, and has run or may have run, so
+     * that this one would repeat its effect.
+     */
+    boolean isSpent(Query query);
+
     /**
      * Returns the earliest time at which bytes read in the event loop pass that began at {@code
      * nowMs} can have arrived on the connection, in milliseconds. The result is earlier than {@code
--- a/gatherer/src/main/java/sprucehold/node/QueryIntake.java
+++ b/gatherer/src/main/java/sprucehold/node/QueryIntake.java
@@ -86,6 +86,11 @@
         return waitingIds.contains(query.id()) || coordinator.isOpen(query);
     }
 
+    @Override
+    public boolean isSpent(Query query) {
+        return coordinator.isSpent(query);
+    }
+
     @Override
     public double earliestArrivalMs(double nowMs, ConnectionArrival arrival) {
         return monitor.earliestArrivalMs(nowMs, arrival);
--- a/gatherer/src/test/java/sprucehold/clients/ClientServerTest.java
+++ b/gatherer/src/test/java/sprucehold/clients/ClientServerTest.java
@@ -117,6 +117,11 @@
                         return query.id().equals("open");
                     }
 
+                    @Override
+                    public boolean isSpent(Query query) {
+                        return query.id().equals("spent");
+                    }
+
                     @Override
                     public double earliestArrivalMs(double nowMs, ConnectionArrival arrival) {
                         arrivals.add(arrival);
@@ -268,6 +273,7 @@
             {"GET /q HTTP/1.1\r\nHost: h\r\n\r\n", 405, "Allow: POST"},
             {"DELETE /up HTTP/1.1\r\nHost: h\r\n\r\n", 405, "Allow: GET"},
             {post("/q", "open", BODY), 400, "open"},
+            {post("/q", "spent", BODY), 400, "has run"},
             {post("/q", "s", "{}"), 400, "buckets"},
             {post("/q", "s", " ".repeat(64 * 1024 + 1)), 413, "64 KiB"},
         };
--- a/gatherer/src/test/java/sprucehold/sockets/UnreadInputTest.java
+++ b/gatherer/src/test/java/sprucehold/sockets/UnreadInputTest.java
@@ -92,6 +92,25 @@
         return new Object[][] {{0}, {1}, {READ_BYTES}, {64 * 1024}, {RECEIVE_BUFFER / 4}};
     }
 
+    /** A caller must not take a connection for open whose end may lie behind a limit. */
+    @Test
+    public void inputBeyondTheLimitIsReported() throws Exception {
+        try (var client = new Socket(address.getAddress(), address.getPort())) {
+            Channel connection = accepted.poll(10, TimeUnit.SECONDS);
+            assertNotNull(connection);
+            var written = new CountDownLatch(1);
+            Future<Boolean> empty =
+                    loop.submit(
+                            () -> {
+                                assertTrue(written.await(10, TimeUnit.SECONDS));
+                                return UnreadInput.readWhile(connection, READ_BYTES, () -> true);
+                            });
+            client.getOutputStream().write(new byte[4 * READ_BYTES]);
+            written.countDown();
+            assertFalse(empty.get(10, TimeUnit.SECONDS), "all input is reported as read");
+        }
+    }
+
     @Test(dataProvider = "sizes")
     public void endOfStreamIsReadBehindAnyAmountOfUnreadInput(int bytes) throws Exception {
         var loopBlocked = new CountDownLatch(1);
