Test hundreds of clients that write slowly, or in chunks of one byte

ServeProcess picks ports below those of outgoing connections: with two suites side by side a gatherer once found its port taken.

--- a/gatherer/src/test/java/sprucehold/command/RequestBurstTest.java
+++ b/gatherer/src/test/java/sprucehold/command/RequestBurstTest.java
@@ -28,6 +28,9 @@
     /** A third of the 1,024 descriptors, which is the share that clients hold for requests. */
     private static final int CLIENTS = 341;
 
+    /** Memory of the whole process, for which the options of its JVM are made, in KiB. */
+    private static final long MAX_RESIDENT_KIB = 192 * 1024;
+
     /** Connections that stay open without a request; half of the descriptors. */
     private static final int IDLE_CLIENTS = 512;
 
@@ -133,6 +136,7 @@
         String small = oneShard(3 * 1024);
         String pieces = oneShard(MAX_BODY_BYTES / 4);
         String many = allShards(MAX_BODY_BYTES);
+        String bytes = oneShard(48 * 1024);
         String nested = "[".repeat(MAX_BODY_BYTES / 2) + "]".repeat(MAX_BODY_BYTES / 2);
         String fields = shortFields(7500);
         return new Object[][] {
@@ -145,6 +149,7 @@
             burst("mixed sizes", CLIENTS, i -> request("b" + i, oneShard(2000 + 186 * i))),
             burst("deeply nested bodies", CLIENTS, i -> request("b" + i, nested)),
             burst("chunks of eight bytes", CLIENTS, i -> chunked("b" + i, pieces, 8, "")),
+            burst("chunks of one byte", CLIENTS, i -> chunked("b" + i, bytes, 1, "")),
             burst("many trailers", CLIENTS, i -> chunked("b" + i, small, 4096, fields)),
             burst("many header fields", CLIENTS, i -> "GET /q HTTP/1.1\r\n" + fields + "\r\n"),
             burst("many requests a client", CLIENTS, i -> request("b" + i, small).repeat(5)),
@@ -202,8 +207,67 @@
         for (Socket socket : sockets) {
             socket.close();
         }
+        assertServesWithinItsMemory();
+    }
+
+    private void assertServesWithinItsMemory() throws IOException {
         gatherer.assertAlive();
         assertEquals(statusOfUsualQuery("after"), "HTTP/1.1 200 OK", gatherer.log().toString());
+        long residentKib = gatherer.peakResidentKib();
+        assertTrue(residentKib < MAX_RESIDENT_KIB, residentKib + " KiB resident");
+    }
+
+    @DataProvider
+    Object[][] slowWrites() {
+        String largest = oneShard(MAX_BODY_BYTES);
+        String bytes = oneShard(MAX_BODY_BYTES / 8);
+        String longFields = ("a: " + "b".repeat(110) + "\r\n").repeat(64);
+        String longTrailers = ("a: " + "b".repeat(110) + "\r\n").repeat(50);
+        return new Object[][] {
+            slow("largest bodies", 700, i -> request("hang" + i, largest)),
+            slow("largest bodies, small pieces", 90, i -> request("hang" + i, largest)),
+            slow("largest bodies in chunks", 700, i -> chunked("hang" + i, largest, 100, "")),
+            slow("chunks of one byte", 500, i -> chunked("hang" + i, bytes, 1, "")),
+            slow("heads of many short fields", 50, i -> "GET /q HTTP/1.1\r\n" + shortFields(7500)),
+            slow("heads of 64 short fields", 5, i -> "GET /q HTTP/1.1\r\n" + shortFields(320)),
+            slow("heads of 64 long fields", 50, i -> "GET /q HTTP/1.1\r\n" + longFields),
+            slow("long trailers", 300, i -> chunked("hang" + i, bytes, 4096, longTrailers)),
+            slow("long first lines", 40, i -> "GET /" + "q".repeat(4000)),
+            slow("many requests", 200, i -> request("b" + i, oneShard(300)) + SHORT.repeat(200)),
+        };
+    }
+
+    private static Object[] slow(String name, int pieceBytes, IntFunction<String> request) {
+        return new Object[] {name, pieceBytes, request};
+    }
+
+    /**
+     * Guards against the end of the process, and against more memory than it may have, when
+     * hundreds of clients send their requests in small pieces and stop before the last byte.
+     */
+    @Test(dataProvider = "slowWrites")
+    public void processKeepsToItsMemoryWhileHundredsOfClientsWriteSlowly(
+            String name, int pieceBytes, IntFunction<String> request) throws Exception {
+        assertEquals(statusOfUsualQuery("before"), "HTTP/1.1 200 OK");
+        var sockets = new ArrayList<Socket>();
+        var requests = new ArrayList<byte[]>();
+        for (int i = 0; i < IDLE_CLIENTS; i++) {
+            sockets.add(connect());
+            requests.add(request.apply(i).getBytes(StandardCharsets.ISO_8859_1));
+        }
+        for (int from = 0; from < requests.get(0).length - 1; from += pieceBytes) {
+            for (int i = 0; i < IDLE_CLIENTS; i++) {
+                byte[] bytes = requests.get(i);
+                write(sockets.get(i), bytes, from, Math.min(pieceBytes, bytes.length - 1 - from));
+            }
+            gatherer.assertAlive();
+        }
+        String status = statusOfUsualQuery("during");
+        assertTrue(status != null && status.matches("HTTP/1.1 (200|502|503) .*"), status);
+        for (Socket socket : sockets) {
+            socket.close();
+        }
+        assertServesWithinItsMemory();
     }
 
     private static void write(Socket socket, byte[] bytes, int from, int length) {
--- a/gatherer/src/test/java/sprucehold/command/ServeProcess.java
+++ b/gatherer/src/test/java/sprucehold/command/ServeProcess.java
@@ -6,6 +6,7 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
@@ -14,10 +15,16 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Collectors;
 
 /** A gatherer in a process of its own, started by the command {@code serve}. */
 final class ServeProcess implements AutoCloseable {
+    private static final int FIRST_PORT = 20_000;
+    private static final int PORTS = 12_000;
+    private static final int PORTS_PER_PROCESS = 37;
+    private static final AtomicInteger PORTS_TRIED = new AtomicInteger();
+
     private final int port;
     private final Path config;
     private final Process process;
@@ -46,10 +53,22 @@
         awaitListening();
     }
 
+    /**
+     * Returns a port that is free. It is below the ports that the system gives to connections, so
+     * that no connection takes it before the gatherer listens, a second or two later.
+     */
     private static int freePort() throws IOException {
-        try (var free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return free.getLocalPort();
+        long first = ProcessHandle.current().pid() * PORTS_PER_PROCESS + PORTS_TRIED.get();
+        for (int tries = 0; tries < PORTS; tries++) {
+            int port = FIRST_PORT + (int) ((first + tries) % PORTS);
+            PORTS_TRIED.incrementAndGet();
+            try (var free = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                return free.getLocalPort();
+            } catch (BindException e) {
+                // Taken; the next one is tried.
+            }
         }
+        throw new IOException("no free port from " + FIRST_PORT);
     }
 
     private static String config(int port, String settings, List<RecordingShardServer> servers) {
@@ -113,6 +132,15 @@
         return process;
     }
 
+    /** Returns the largest resident memory of the process so far, in KiB. */
+    long peakResidentKib() throws IOException {
+        return Files.readAllLines(Path.of("/proc/" + process.pid() + "/status")).stream()
+                .filter(line -> line.startsWith("VmHWM:"))
+                .mapToLong(line -> Long.parseLong(line.replaceAll("[^0-9]", "")))
+                .findFirst()
+                .orElseThrow();
+    }
+
     /** Fails unless the process runs. */
     void assertAlive() {
         if (!process.isAlive()) {
