End a chunk size where the decoder ends it, so that none is missed

Found by rereading ChunkSizes: digits behind the end of a size ("1 fffff", "1;fffff" excepted) were taken for a part of it, which the decoder doesn't do. The follower then took the next chunks for data, and a size of over 32 bits in them hid a request again.

Change: any character behind the digits ends the size, as in the decoder.

--- a/gatherer/src/main/java/sprucehold/clients/ChunkSizes.java
+++ b/gatherer/src/main/java/sprucehold/clients/ChunkSizes.java
@@ -21,6 +21,7 @@
     }
 
     private State state = State.SIZE;
+    private boolean sizeBegun;
     private int digits;
     private int bytesLeft;
 
@@ -59,11 +60,13 @@
     private boolean acceptSize(char character) {
         int digit = Character.digit(character, HEXADECIMAL);
         if (digit >= 0) {
+            sizeBegun = true;
             if (digits > 0 || digit > 0) {
                 digits++;
             }
             bytesLeft = bytesLeft * HEXADECIMAL + digit;
-        } else if (character == ';') {
+        } else if (sizeBegun) {
+            // The decoder, too, ends a size at the first character that is no digit.
             state = State.EXTENSION;
         }
         return digits <= MAX_DIGITS;
@@ -72,6 +75,7 @@
     private void endLine() {
         if (state == State.END_OF_DATA) {
             state = State.SIZE;
+            sizeBegun = false;
             digits = 0;
             bytesLeft = 0;
         } else {
--- a/gatherer/src/test/java/sprucehold/clients/ClientServerTest.java
+++ b/gatherer/src/test/java/sprucehold/clients/ClientServerTest.java
@@ -368,6 +368,11 @@
             requests.add(new Object[] {framed(chunked, size + "\r\n\r\n" + hidden)});
             requests.add(new Object[] {framed(chunked, "1\r\n{\r\n" + size + "\r\n\r\n" + hidden)});
         }
+        // Digits behind the end of a size must not hide the size of the chunk after it.
+        for (String first : List.of("1 fffff", "1\tfffff", "1;fffff", " 1 ;a=fffff", "01 1")) {
+            requests.add(
+                    new Object[] {framed(chunked, first + "\r\n{\r\n100000000\r\n\r\n" + hidden)});
+        }
         return requests.toArray(Object[][]::new);
     }
 
