Tell of answers that fail for memory, and keep one failure to one connection

ClientMemory no longer counts refusals a second time; - one connection's failure in PassScheduler would have left all others of the same pass held back for good; each is guarded; - input that is ignored is read on in every case, so that a close is seen; - an abort of a connection that is closed already does nothing.

--- a/gatherer/src/main/java/sprucehold/clients/ClientConnections.java
+++ b/gatherer/src/main/java/sprucehold/clients/ClientConnections.java
@@ -371,8 +371,8 @@
     void abort(C connection) {
         if (removeOpen(connection)) {
             closing.add(connection);
+            closer.closeNow(connection);
         }
-        closer.closeNow(connection);
     }
 
     /**
--- a/gatherer/src/main/java/sprucehold/clients/ClientMemory.java
+++ b/gatherer/src/main/java/sprucehold/clients/ClientMemory.java
@@ -42,7 +42,6 @@
     private final long maxReservedBytes;
     private final long freeBytes;
     private long reservedBytes;
-    private long refusals;
 
     /**
      * @param maxReservedBytes limit on the reservations of all connections
@@ -69,11 +68,6 @@
         return reservedBytes;
     }
 
-    /** Returns how many requests for memory were refused. */
-    long refusals() {
-        return refusals;
-    }
-
     /** Limit on all reservations for a connection that holds a given amount. */
     private long maxReservedBytesFor(long heldBytes) {
         return maxReservedBytes
@@ -102,7 +96,6 @@
             long newHeldBytes = heldBytes + bytes - held.getOrDefault(use, 0L);
             long change = reservationFor(newHeldBytes) - reservationFor(heldBytes);
             if (change > 0 && reservedBytes + change > maxReservedBytesFor(newHeldBytes)) {
-                refusals++;
                 return false;
             }
             reservedBytes += change;
--- a/gatherer/src/main/java/sprucehold/clients/ClientServer.java
+++ b/gatherer/src/main/java/sprucehold/clients/ClientServer.java
@@ -112,7 +112,7 @@
         this.readPasses = new ReadPassTracker(clock);
         this.reader = new QueryReader(shards);
         this.connections = new ClientConnections<>(maxConnections, clock, new ChannelCloser());
-        this.responses = new ResponseWriter(connections);
+        this.responses = new ResponseWriter(connections, this::recordRefusalForMemory);
         var options =
                 new HttpServerOptions()
                         .setTcpNoDelay(true)
@@ -209,17 +209,22 @@
 
     /** Rejects a request that is not received completely; asking again is harmless. */
     private void rejectForLackOfMemory(HttpServerRequest request) {
+        recordRefusalForMemory();
+        responses.rejectAndClose(request, 503, "throttled");
+    }
+
+    private void recordRefusalForMemory() {
         refusedForMemory++;
         double nowMs = clock.getAsDouble();
         if (nowMs - refusalLoggedAtMs >= REFUSAL_LOG_INTERVAL_MS) {
             refusalLoggedAtMs = nowMs;
             LOG.warning(
-                    "requests rejected, clients occupy too much memory: reserved_bytes="
+                    "requests rejected or failed, clients occupy too much memory:"
+                            + " reserved_bytes="
                             + memory.reservedBytes()
                             + ", requests_refused="
                             + refusedForMemory);
         }
-        responses.rejectAndClose(request, 503, "throttled");
     }
 
     /**
@@ -335,8 +340,8 @@
     }
 
     /**
-     * Returns how many requests were rejected because all clients together occupied too much
-     * memory.
+     * Returns how many requests were rejected or failed because all clients together occupied too
+     * much memory.
      */
     public long refusedForMemory() {
         return refusedForMemory;
--- a/gatherer/src/main/java/sprucehold/clients/PassScheduler.java
+++ b/gatherer/src/main/java/sprucehold/clients/PassScheduler.java
@@ -4,12 +4,13 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.logging.Level;
+import java.util.logging.Logger;
 
-/**
- * Runs work of client connections in later passes of the event loop over its sockets, and divides
- * the work of decoding by pass.
- */
+/** Runs work of client connections in later passes of the event loop over its sockets. */
 final class PassScheduler {
+    private static final Logger LOG = Logger.getLogger(PassScheduler.class.getName());
+
     private final EventLoop loop;
     private final ReadPassTracker readPasses;
     private List<Runnable> nextPass = new ArrayList<>();
@@ -44,8 +45,15 @@
         List<Runnable> due = nextPass;
         nextPass = new ArrayList<>();
         readPasses.onRead(loop);
-        for (Runnable work : due) {
+        due.forEach(PassScheduler::runGuarded);
+    }
+
+    /** A failure of one connection's work must not stop the others'. */
+    private static void runGuarded(Runnable work) {
+        try {
             work.run();
+        } catch (RuntimeException e) {
+            LOG.log(Level.SEVERE, "panic: work of a client connection failed", e);
         }
     }
 }
--- a/gatherer/src/main/java/sprucehold/clients/RequestInput.java
+++ b/gatherer/src/main/java/sprucehold/clients/RequestInput.java
@@ -9,10 +9,9 @@
 import io.vertx.core.http.HttpConnection;
 
 /**
- * Controls the input of one connection in front of its decoder. While a request is being answered
- * it continues to read, in order to detect the client's close, and requests behind it wait
- * undecoded in the decoder's buffer, up to a limit. While a request arrives faster than it may be
- * decoded, it stops reading.
+ * Controls the input of one connection in front of its decoder. While a query is open it continues
+ * to read, in order to detect the client's close, and requests behind it wait undecoded in the
+ * decoder's buffer, up to a limit. At other times it stops reading while input waits to be decoded.
  */
 final class RequestInput extends ChannelInboundHandlerAdapter {
     /**
@@ -111,6 +110,8 @@
         }
         ignored = true;
         decoder.stop();
+        // Further input is read and dropped, so that the client's close is detected.
+        context.channel().config().setAutoRead(true);
         passes.afterThisPass(this::dropWaiting);
     }
 
--- a/gatherer/src/main/java/sprucehold/clients/ResponseWriter.java
+++ b/gatherer/src/main/java/sprucehold/clients/ResponseWriter.java
@@ -11,14 +11,19 @@
     private static final String ABANDONED = "abandoned";
 
     private final ClientConnections<HttpConnection> connections;
+    private final Runnable onNoMemory;
 
     /** Number of responses that aren't completely written. */
     private int pendingWrites;
 
     private boolean draining;
 
-    ResponseWriter(ClientConnections<HttpConnection> connections) {
+    /**
+     * @param onNoMemory called for each completed answer that fails for lack of memory
+     */
+    ResponseWriter(ClientConnections<HttpConnection> connections, Runnable onNoMemory) {
         this.connections = connections;
+        this.onNoMemory = onNoMemory;
     }
 
     /** Makes every response from now on the last on its connection. */
@@ -51,11 +56,15 @@
      * its parts have run, so the client can't be told that asking again is harmless.
      */
     private void endCompleted(HttpServerRequest request, Buffer body) {
+        if (request.response().closed()) {
+            return;
+        }
         ClientMemory.Account memory = RequestInput.of(request.connection()).memory();
         if (memory.resize(ClientMemory.Use.ANSWER, body.length())) {
             request.response().putHeader("Content-Type", "application/json");
             end(request, 200, body);
         } else {
+            onNoMemory.run();
             end(request, 502, ABANDONED);
         }
     }
--- a/gatherer/src/test/java/sprucehold/clients/ClientMemoryTest.java
+++ b/gatherer/src/test/java/sprucehold/clients/ClientMemoryTest.java
@@ -28,11 +28,12 @@
     /** Guards against the end of the process by what many clients hold together. */
     @Test
     public void reservationsOfAllConnectionsAreBoundedAndSmallOnesAreStillGranted() {
+        int refusals = 0;
         for (int i = 0; i < 100; i++) {
-            memory.open().resize(Use.BODY, 3000);
+            refusals += memory.open().resize(Use.BODY, 3000) ? 0 : 1;
         }
         assertTrue(memory.reservedBytes() <= MAX_RESERVED_BYTES);
-        assertTrue(memory.refusals() > 0);
+        assertTrue(refusals > 0);
         assertTrue(memory.open().resize(Use.BODY, FREE_BYTES));
     }
 
--- a/gatherer/src/test/java/sprucehold/clients/ClientServerTest.java
+++ b/gatherer/src/test/java/sprucehold/clients/ClientServerTest.java
@@ -431,6 +431,23 @@
         awaitNoBodyMemoryReserved();
     }
 
+    /** Guards against the end of the process by answers that clients don't read. */
+    @Test
+    public void completedAnswerFailsWhileUnreadAnswersOccupyTheMemory() throws Exception {
+        String value = "v".repeat((int) BODY_MEMORY_BYTES);
+        immediateAnswer =
+                new Answer.Completed(true, List.of(new Answer.Value(0, Payload.ofUtf8(value))));
+        try (Socket socket = connect(post("/q", "large", BODY))) {
+            assertTrue(response(socket).startsWith("HTTP/1.1 502 "));
+            assertEquals((long) loop.call(() -> server.refusedForMemory()), 1L);
+            // The connection stays open, and a small answer is always granted.
+            immediateAnswer = HIT;
+            socket.getOutputStream().write(post("/q", "t", BODY).getBytes(StandardCharsets.UTF_8));
+            assertTrue(response(socket).startsWith("HTTP/1.1 200 "));
+        }
+        awaitNoBodyMemoryReserved();
+    }
+
     @DataProvider
     Object[][] endsOfLargeRequests() {
         String unreadable = "x".repeat(RequestBody.MAX_BYTES);
