Ask discovery on new connections once one has fallen silent, and in parallel

Cause: the HTTP client's pool held a second connection that rested while the first one's call waited. After the silent call it handed out the resting connection, silent as well. By reading, and shown by the new tests: a polled call was given up only 1 to 2 s after its wait, with nothing asked meanwhile; and a wait of 20 s began on a used connection, so a silence between two calls showed after 21 s, not within the 6 s.

Change: discovery.DiscoveryConnections replaces the pool. Each open call has a connection of its own, and only that of the latest answer rests, until the next call uses or closes it. Calls with a long wait and calls after a failed or overdue one ask for a new connection. An overdue polled call stays open, as a pushed one did, and another is made 250 ms after the wait and once more 250 ms later; further ones wait for the policy. The first answer ends the other calls, else calls to a slow discovery overlap without end (found by a new test). policy.EndpointSubscriber schedules one request at a time, as several failures may now come before the next one is due.

Why it works: the 2 s after a wait are left to two calls on connections that can't be old, and a used connection only takes a wait of 2 s, which shows a silence within 3 s.

EndpointWatchTest.noConnectionRestsBesideTheOneInUse failed before (2 of 2 rows), as did the two new tests of EndpointListTest; all pass. The simulation of EndpointWatchStateMachineTest moved to DiscoverySimulation, which knows connections now; its checks and bounds are unchanged and pass.

--- a/core/src/main/java/sprucehold/policy/EndpointSubscriber.java
+++ b/core/src/main/java/sprucehold/policy/EndpointSubscriber.java
@@ -12,9 +12,8 @@
     /**
      * Maximum backoff, in milliseconds. A gatherer counts as informed of a change six seconds after
      * discovery has the change and can be reached. The interval between calls stays below this
-     * time: the backoff with jitter is at most three seconds, and a call without an answer takes
-     * two seconds. A call that fell silent has used up most of the time when it fails, so the first
-     * backoff after a success is short.
+     * time: the backoff with jitter is at most three seconds, and a call without an answer is
+     * reported after one second.
      */
     private static final double BACKOFF_MAX_MS = 2000;
 
@@ -29,6 +28,12 @@
     private final Random random;
     private int consecutiveFailures;
 
+    /**
+     * Time of the next request, in milliseconds; infinite if none is scheduled. A failure before it
+     * may bring it forward, but schedules no second one.
+     */
+    private double requestAtMs = Double.POSITIVE_INFINITY;
+
     EndpointSubscriber(
             DecisionContext context, CommandList commands, Timers timers, Random random) {
         this.context = context;
@@ -55,8 +60,17 @@
         int doublings = Math.min(consecutiveFailures, BACKOFF_MAX_DOUBLINGS);
         consecutiveFailures++;
         double backoffMs = Math.min(maxMs, BACKOFF_BASE_MS * Math.pow(2, doublings));
-        timers.schedule(
-                context.nowMs() + backoffMs * (JITTER_MIN + random.nextDouble()),
-                () -> commands.add(new Command.SubscribeToEndpoints(Reason.ENDPOINTS_UNAVAILABLE)));
+        double atMs = context.nowMs() + backoffMs * (JITTER_MIN + random.nextDouble());
+        if (atMs < requestAtMs) {
+            requestAtMs = atMs;
+            timers.schedule(atMs, () -> requestIfDue(atMs));
+        }
+    }
+
+    private void requestIfDue(double atMs) {
+        if (atMs == requestAtMs) {
+            requestAtMs = Double.POSITIVE_INFINITY;
+            commands.add(new Command.SubscribeToEndpoints(Reason.ENDPOINTS_UNAVAILABLE));
+        }
     }
 }
--- a/core/src/test/java/sprucehold/policy/EndpointListTest.java
+++ b/core/src/test/java/sprucehold/policy/EndpointListTest.java
@@ -11,6 +11,7 @@
 import sprucehold.decision.Deployment;
 import sprucehold.decision.Endpoint;
 import sprucehold.decision.Event;
+import sprucehold.decision.Reason;
 
 /** Tests servers that leave, return or are missing, and an endpoint list that is unavailable. */
 public class EndpointListTest {
@@ -89,6 +90,47 @@
         assertEquals(fixture.all(Command.SubscribeToEndpoints.class).size(), requests + 1);
     }
 
+    /** Guards against requests that multiply while several calls without an answer are open. */
+    @Test
+    public void failuresBeforeTheNextRequestLeadToOneRequest() {
+        var fixture = new SchedulerFixture();
+        fixture.subscription = new Deployment.EndpointSubscription(true, 10_000);
+        fixture.start();
+        for (int i = 0; i < 3; i++) {
+            fixture.decide(new Event.EndpointsUnavailable());
+        }
+        fixture.waitFor(4000);
+        assertEquals(requestsAfterFailures(fixture), 1);
+    }
+
+    /**
+     * A request that was scheduled after many failures doesn't hold back one that is due sooner.
+     */
+    @Test
+    public void failureAfterASuccessBringsAScheduledRequestForward() {
+        var fixture = new SchedulerFixture();
+        fixture.subscription = new Deployment.EndpointSubscription(true, 10_000);
+        fixture.start();
+        for (int i = 0; i < 5; i++) {
+            fixture.decide(new Event.EndpointsUnavailable());
+            fixture.waitFor(4000);
+        }
+        fixture.decide(new Event.EndpointsUnavailable());
+        fixture.decide(new Event.EndpointsUpdated(false, List.of()));
+        long requests = requestsAfterFailures(fixture);
+        fixture.decide(new Event.EndpointsUnavailable());
+        fixture.waitFor(400);
+        assertEquals(requestsAfterFailures(fixture), requests + 1);
+        fixture.waitFor(4000);
+        assertEquals(requestsAfterFailures(fixture), requests + 1);
+    }
+
+    private static long requestsAfterFailures(SchedulerFixture fixture) {
+        return fixture.all(Command.SubscribeToEndpoints.class).stream()
+                .filter(command -> command.reason() == Reason.ENDPOINTS_UNAVAILABLE)
+                .count();
+    }
+
     @DataProvider
     Object[][] absences() {
         return new Object[][] {{29_000, false}, {31_000, true}};
--- a/gatherer/src/main/java/sprucehold/discovery/EndpointWatch.java
+++ b/gatherer/src/main/java/sprucehold/discovery/EndpointWatch.java
@@ -1,18 +1,11 @@
 package sprucehold.discovery;
 
+import io.vertx.core.AsyncResult;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpClient;
-import io.vertx.core.http.HttpClientOptions;
-import io.vertx.core.http.HttpClientRequest;
-import io.vertx.core.http.HttpMethod;
-import io.vertx.core.http.PoolOptions;
-import io.vertx.core.http.RequestOptions;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
 import java.util.logging.Level;
@@ -29,27 +22,16 @@
 
     private static final double SHORTEST_POLL_INTERVAL_MS = 1000;
 
-    /**
-     * One connection for the current call, one for an overdue call that is still open, and one that
-     * is being closed.
-     */
-    private static final int MAX_CONNECTIONS = 3;
-
     private final Vertx vertx;
     private final int replicaGroups;
     private final DoubleSupplier clock;
     private final Consumer<Observation> observations;
     private final EndpointWatchStateMachine stateMachine;
-    private HttpClient client;
-    private String host;
-    private int port;
+    private DiscoveryConnections connections;
     private boolean stopped;
     private long timer = -1;
     private double timerAtMs = Double.POSITIVE_INFINITY;
 
-    /** Requests of the open calls by call number; null until the connection is established. */
-    private final Map<Long, HttpClientRequest> openCalls = new HashMap<>();
-
     /** Completed when the first call has ended, failed or become overdue. */
     private final Promise<Void> firstCallEnded = Promise.promise();
 
@@ -82,27 +64,7 @@
         this.stateMachine =
                 new EndpointWatchStateMachine(
                         !polled, Math.max(SHORTEST_POLL_INTERVAL_MS, maxPollIntervalMs));
-        setAddress(host, port);
-    }
-
-    private void setAddress(String newHost, int newPort) {
-        host = newHost;
-        port = newPort;
-        client =
-                vertx.httpClientBuilder()
-                        .with(
-                                new HttpClientOptions()
-                                        .setConnectTimeout(EndpointWatchStateMachine.TRANSIT_MS))
-                        .with(new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS))
-                        .withConnectHandler(
-                                connection ->
-                                        connection.exceptionHandler(
-                                                failure ->
-                                                        LOG.log(
-                                                                Level.FINE,
-                                                                "connection to discovery failed",
-                                                                failure)))
-                        .build();
+        this.connections = new DiscoveryConnections(vertx, host, port);
     }
 
     /**
@@ -111,14 +73,13 @@
      * list versions of the two addresses are unrelated.
      */
     public void changeAddress(String newHost, int newPort) {
-        if (stopped || (host.equals(newHost) && port == newPort)) {
+        if (stopped || connections.isTo(newHost, newPort)) {
             return;
         }
         LOG.info("discovery address changed: " + newHost + ":" + newPort);
-        HttpClient old = client;
-        setAddress(newHost, newPort);
+        connections.close();
+        connections = new DiscoveryConnections(vertx, newHost, newPort);
         carryOut(stateMachine.addressChanged(clock.getAsDouble()));
-        old.close();
     }
 
     /**
@@ -144,10 +105,7 @@
             if (step instanceof EndpointWatchStateMachine.Step.MakeCall makeCall) {
                 sendCall(makeCall.call());
             } else if (step instanceof EndpointWatchStateMachine.Step.DropCall drop) {
-                HttpClientRequest request = openCalls.remove(drop.number());
-                if (request != null) {
-                    request.reset();
-                }
+                connections.drop(drop.number());
             } else if (step instanceof EndpointWatchStateMachine.Step.Report report) {
                 observations.accept(
                         new Observation.EndpointsUpdated(
@@ -181,52 +139,20 @@
     }
 
     private void sendCall(EndpointWatchStateMachine.Call call) {
-        openCalls.put(call.number(), null);
-        String uri =
-                call.after() < 0
-                        ? "/discovery/hosts"
-                        : "/discovery/hosts?after=" + call.after() + "&wait_ms=" + call.waitMs();
-        client.request(
-                        new RequestOptions()
-                                .setMethod(HttpMethod.GET)
-                                .setHost(host)
-                                .setPort(port)
-                                .setURI(uri)
-                                .setIdleTimeout(call.timeoutMs()))
-                .compose(
-                        request -> {
-                            if (!openCalls.containsKey(call.number())) {
-                                request.reset();
-                                return Future.failedFuture("call dropped");
-                            }
-                            openCalls.put(call.number(), request);
-                            return request.send()
-                                    .compose(
-                                            response ->
-                                                    response.statusCode() == 200
-                                                            ? response.body()
-                                                            : Future.failedFuture(
-                                                                    "HTTP status "
-                                                                            + response
-                                                                                    .statusCode()));
-                        })
+        DiscoveryConnections usedConnections = connections;
+        usedConnections
+                .call(call)
                 .onComplete(
-                        called ->
-                                callEnded(
-                                        call,
-                                        called.succeeded() ? called.result() : null,
-                                        called.succeeded()
-                                                ? null
-                                                : String.valueOf(called.cause().getMessage())));
+                        called -> {
+                            if (!stopped && usedConnections == connections) {
+                                callEnded(call, called);
+                            }
+                        });
     }
 
-    private void callEnded(EndpointWatchStateMachine.Call call, Buffer body, String failure) {
-        boolean open = openCalls.containsKey(call.number());
-        openCalls.remove(call.number());
-        if (stopped || !open) {
-            return;
-        }
-        carryOut(stepsAfter(call, body, failure));
+    private void callEnded(EndpointWatchStateMachine.Call call, AsyncResult<Buffer> called) {
+        String failure = called.succeeded() ? null : String.valueOf(called.cause().getMessage());
+        carryOut(stepsAfter(call, called.result(), failure));
         firstCallEnded.tryComplete();
     }
 
@@ -248,7 +174,7 @@
     public void stop() {
         stopped = true;
         setTimer();
-        client.close();
+        connections.close();
         firstCallEnded.tryComplete();
     }
 }
--- a/gatherer/src/main/java/sprucehold/discovery/EndpointWatchStateMachine.java
+++ b/gatherer/src/main/java/sprucehold/discovery/EndpointWatchStateMachine.java
@@ -1,6 +1,8 @@
 package sprucehold.discovery;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.List;
 
 /**
@@ -13,26 +15,33 @@
  * attempts to a shard server whose drain grace period has ended.
  *
  * <p>A call whose connection was lost without a reset can't be distinguished from a call that waits
- * for a change. Therefore the timeouts depend on the way the list is obtained:
+ * for a change. The gatherer counts as notified of the changes that such a call misses six seconds
+ * after the loss or, if that is later, two seconds after the end of the call's wait. Therefore:
  *
  * <ul>
- *   <li>If the list is pushed to an agent nearby, calls put no load on discovery and wait for a
- *       short time only. An overdue call stays open, and a second call is made in parallel.
- *   <li>If the list is polled, each call puts load on discovery. Calls wait for a long time, and a
- *       call without a response after that time has failed.
+ *   <li>A call that may wait for long is made on a new connection, and so is each call after a
+ *       failed or overdue one. Only a call with a short wait that directly follows a response uses
+ *       the connection of that response.
+ *   <li>An overdue call stays open, since its response may only be slow, and another call is made
+ *       in parallel. The first response counts.
  * </ul>
+ *
+ * <p>The waits and the delays depend on the way the list is obtained. If it is pushed to an agent
+ * nearby, calls put no load on discovery: they wait for a short time, and a call stays open during
+ * an outage. If the list is polled, calls wait for a long time, and while there is no response, the
+ * decision policy determines when the next one is made.
  */
 final class EndpointWatchStateMachine {
     /** Longest time that discovery may keep a call open if the list is polled, in milliseconds. */
     static final int POLLED_WAIT_MS = 20_000;
 
     /**
-     * Longest time that the agent may keep a call open, in milliseconds. If the connection of a
-     * call is lost without a reset, the gatherer counts as notified of the changes that the call
-     * didn't deliver six seconds after the loss. This time and {@link #TRANSIT_MS} together are
-     * three seconds, so that a second call can still deliver the changes in time.
+     * Longest time that the agent of a pushed list, or a polled discovery on a connection that was
+     * used before, may keep a call open, in milliseconds. This time and {@link #TRANSIT_MS}
+     * together are three of the six seconds after which the gatherer counts as notified of what the
+     * call missed, so that another call can still deliver it in time.
      */
-    static final int PUSHED_WAIT_MS = 2000;
+    static final int SHORT_WAIT_MS = 2000;
 
     /** Shortest wait of a call, in milliseconds; its response contains the changes so far. */
     private static final int SHORTEST_WAIT_MS = 1;
@@ -43,10 +52,37 @@
     static final int TRANSIT_MS = 1000;
 
     /**
-     * Timeout of a call to the agent, in milliseconds. It is longer than the time after which an
-     * overdue call is dropped, which happens when the next call is overdue too.
+     * The same for a call of a polled list for later versions while others replace silent ones at
+     * once, in milliseconds. Two seconds after the end of the call's wait the gatherer counts as
+     * notified; most of that time is left to the calls that are made in parallel.
+     */
+    private static final int POLLED_TRANSIT_MS = 250;
+
+    /**
+     * Longest interval between parallel calls to the agent, as a multiple of {@link #TRANSIT_MS}.
+     */
+    private static final int MAX_PUSHED_INTERVAL_TRANSITS = 3;
+
+    /** Most calls that are open at once if the list is pushed; each lives for two intervals. */
+    private static final int MAX_OPEN_PUSHED = 2;
+
+    /**
+     * Most calls that are open at once if the list is polled. The first intervals between them are
+     * short, and a slow response has to find its call still open.
      */
-    private static final int PUSHED_TIMEOUT_MS = 20_000;
+    private static final int MAX_OPEN_POLLED = 4;
+
+    /**
+     * Calls to a polled discovery that replace silent ones at once, until there is a response. A
+     * connection may fall silent right after it was opened, so there are two.
+     */
+    private static final int POLLED_CALLS_AT_ONCE = 2;
+
+    /**
+     * Time beyond its wait after which a call without a response has failed in any case, in
+     * milliseconds. Calls are usually dropped sooner.
+     */
+    private static final int TIMEOUT_MS = 20_000;
 
     /**
      * Delay before the next call of a pushed list after a failure that is not a repeated refusal,
@@ -72,11 +108,22 @@
      * @param timeoutMs time after which a call without a response has failed, in milliseconds from
      *     its start
      * @param startedAtMs time at which the call was made, in milliseconds
+     * @param newConnection true if the call must be made on a new connection; false if it may use
+     *     the connection of the latest response
      */
-    record Call(long number, long after, int waitMs, int timeoutMs, double startedAtMs) {
-        /** Returns the time after which the call is overdue, in milliseconds. */
-        double overdueAtMs() {
-            return startedAtMs + waitMs + (after < 0 ? 2 * TRANSIT_MS : TRANSIT_MS);
+    record Call(
+            long number,
+            long after,
+            int waitMs,
+            int timeoutMs,
+            double startedAtMs,
+            boolean newConnection) {
+        /**
+         * Returns the time that the connection may take to be established, in milliseconds. A call
+         * that waits for long would be noticed too late if it never began.
+         */
+        int connectTimeoutMs() {
+            return waitMs >= SHORT_WAIT_MS ? TRANSIT_MS : timeoutMs;
         }
     }
 
@@ -118,12 +165,27 @@
     /** Latest call while it has no response, else null. */
     private Call current;
 
-    /** Call before the latest one if it is overdue, else null; its response is still accepted. */
-    private Call overdue;
+    /** Whether the latest call was reported as overdue and no other has been made since. */
+    private boolean currentOverdue;
 
-    /** Time of the next call if none is open, in milliseconds; infinite if none is scheduled. */
+    /** Overdue calls before the latest one, oldest first; their responses are still accepted. */
+    private final Deque<Call> overdueCalls = new ArrayDeque<>();
+
+    /** Calls that became overdue since the last response. */
+    private int overdueInARow;
+
+    /**
+     * Time of the next call if none is open or the open ones are overdue, in milliseconds; infinite
+     * if none is scheduled.
+     */
     private double nextCallAtMs = Double.POSITIVE_INFINITY;
 
+    /** Whether the latest response had changes since an earlier list version. */
+    private boolean changesReceived;
+
+    /** Whether the next call directly follows a response to the one before. */
+    private boolean followsResponse;
+
     /** Whether a call has failed or become overdue since the last response. */
     private boolean unavailable;
 
@@ -143,9 +205,9 @@
         this.retryDelayMs = retryDelayMs;
     }
 
-    /** Makes a call now unless one is open. */
+    /** Makes a call now unless one is open that isn't overdue. */
     List<Step> poll(double nowMs) {
-        if (current == null) {
+        if (current == null || currentOverdue) {
             makeCall(nowMs);
         }
         return takeSteps();
@@ -158,36 +220,40 @@
     List<Step> addressChanged(double nowMs) {
         dropCalls();
         index = -1;
+        followsResponse = false;
+        overdueInARow = 0;
         makeCall(nowMs);
         return takeSteps();
     }
 
     private void dropCalls() {
-        dropOverdue();
+        overdueCalls.forEach(call -> steps.add(new Step.DropCall(call.number)));
+        overdueCalls.clear();
         if (current != null) {
             steps.add(new Step.DropCall(current.number));
-            current = null;
+            endCurrent();
         }
     }
 
-    private void dropOverdue() {
-        if (overdue != null) {
-            steps.add(new Step.DropCall(overdue.number));
-            overdue = null;
-        }
+    private void endCurrent() {
+        current = null;
+        currentOverdue = false;
     }
 
+    /** Makes a call, beside the latest one if that is open. */
     private void makeCall(double nowMs) {
+        if (current != null) {
+            overdueCalls.addLast(current);
+        }
+        if (overdueCalls.size() >= (pushed ? MAX_OPEN_PUSHED : MAX_OPEN_POLLED)) {
+            steps.add(new Step.DropCall(overdueCalls.removeFirst().number));
+        }
         nextCallAtMs = Double.POSITIVE_INFINITY;
+        currentOverdue = false;
         int waitMs = waitMs();
-        int transits = index < 0 || unavailable ? 2 : 1;
-        current =
-                new Call(
-                        ++callsMade,
-                        index,
-                        waitMs,
-                        pushed ? PUSHED_TIMEOUT_MS : waitMs + transits * TRANSIT_MS,
-                        nowMs);
+        boolean newConnection = !followsResponse || waitMs > SHORT_WAIT_MS;
+        followsResponse = false;
+        current = new Call(++callsMade, index, waitMs, waitMs + TIMEOUT_MS, nowMs, newConnection);
         steps.add(new Step.MakeCall(current));
     }
 
@@ -197,30 +263,69 @@
             return 0;
         }
         if (pushed) {
-            return PUSHED_WAIT_MS;
+            return SHORT_WAIT_MS;
+        }
+        if (unavailable) {
+            return SHORTEST_WAIT_MS;
+        }
+        // Changes often come in quick succession, so the call after one keeps its connection.
+        return followsResponse && changesReceived ? SHORT_WAIT_MS : POLLED_WAIT_MS;
+    }
+
+    /** Returns the time after which the latest call is overdue, in milliseconds. */
+    private double overdueAtMs() {
+        if (pushed && unavailable) {
+            int transits = Math.max(1, Math.min(overdueInARow, MAX_PUSHED_INTERVAL_TRANSITS));
+            return current.startedAtMs + transits * TRANSIT_MS;
+        }
+        if (current.after < 0) {
+            return current.startedAtMs + (unavailable ? 1 : 2) * TRANSIT_MS;
         }
-        return unavailable ? SHORTEST_WAIT_MS : POLLED_WAIT_MS;
+        boolean replacedAtOnce = !pushed && overdueInARow < POLLED_CALLS_AT_ONCE;
+        int transitMs = replacedAtOnce ? POLLED_TRANSIT_MS : TRANSIT_MS;
+        return current.startedAtMs + current.waitMs + transitMs;
     }
 
-    /** Handles the response to a call. */
+    /**
+     * Handles the response to a call. The other open calls are dropped, and the next call follows.
+     */
     List<Step> answered(double nowMs, long number, EndpointList list) {
         boolean isCurrent = current != null && number == current.number;
-        if (!isCurrent && (overdue == null || number != overdue.number)) {
+        Call answered = isCurrent ? current : removeOverdue(number);
+        if (answered == null) {
             return List.of();
         }
+        if (isCurrent) {
+            endCurrent();
+        }
         if (list.index() < index) {
             // The version decreased, so later changes from discovery don't apply to the list that
             // this gatherer has.
-            Call answered = isCurrent ? current : overdue;
-            current = isCurrent ? null : current;
-            overdue = isCurrent ? overdue : null;
             dropCalls();
             index = -1;
             fail(nowMs, answered, "list index decreased");
             return takeSteps();
         }
         boolean newer = list.index() > index || (isCurrent && !list.servers().isEmpty());
+        changesReceived = newer && answered.after >= 0;
         index = list.index();
+        reportResponse(list, newer);
+        dropCalls();
+        callAfterResponse(nowMs, !newer && nowMs - answered.startedAtMs < RETRY_PAUSE_MS);
+        return takeSteps();
+    }
+
+    private Call removeOverdue(long number) {
+        for (Call call : overdueCalls) {
+            if (call.number == number) {
+                overdueCalls.remove(call);
+                return call;
+            }
+        }
+        return null;
+    }
+
+    private void reportResponse(EndpointList list, boolean newer) {
         if (newer) {
             steps.add(new Step.Report(list));
         } else if (unavailable) {
@@ -232,28 +337,29 @@
             steps.add(new Step.LogLine(false, "endpoint list available again: index " + index));
         }
         retrying = false;
-        if (!isCurrent) {
-            overdue = null;
-            return takeSteps();
-        }
-        dropOverdue();
-        if (!newer && nowMs - current.startedAtMs < RETRY_PAUSE_MS) {
-            current = null;
+        overdueInARow = 0;
+    }
+
+    private void callAfterResponse(double nowMs, boolean afterPause) {
+        followsResponse = true;
+        if (afterPause) {
             nextCallAtMs = nowMs + RETRY_PAUSE_MS;
         } else {
             makeCall(nowMs);
         }
-        return takeSteps();
     }
 
     /** Handles a call that failed or timed out. */
     List<Step> failed(double nowMs, long number, String reason) {
-        if (current != null && number == current.number) {
+        if (current == null || number != current.number) {
+            removeOverdue(number);
+        } else if (currentOverdue) {
+            // It was reported before, and the next call is scheduled.
+            endCurrent();
+        } else {
             Call failed = current;
-            current = null;
+            endCurrent();
             fail(nowMs, failed, reason);
-        } else if (overdue != null && number == overdue.number) {
-            overdue = null;
         }
         return takeSteps();
     }
@@ -274,6 +380,7 @@
     }
 
     private void fail(double nowMs, Call failed, String reason) {
+        followsResponse = false;
         nextCallAtMs = nowMs + retryAfterMs(nowMs, failed);
         retrying = true;
         markUnavailable(reason);
@@ -291,30 +398,45 @@
 
     /** Handles the timer set for {@link #timerAtMs}. */
     List<Step> timerFired(double nowMs) {
-        if (current == null && nowMs >= nextCallAtMs) {
-            makeCall(nowMs);
-        } else if (pushed && current != null && nowMs >= current.overdueAtMs()) {
-            dropOverdue();
-            overdue = current;
-            retrying = false;
-            if (!unavailable) {
-                markUnavailable("a call is overdue, making another in parallel");
-                steps.add(new Step.ReportUnavailable("no answer"));
-            }
+        if (nowMs < timerAtMs()) {
+            return List.of();
+        }
+        if (current == null || currentOverdue) {
             makeCall(nowMs);
+        } else {
+            becameOverdue(nowMs);
         }
         return takeSteps();
     }
 
+    /**
+     * Handles a latest call that is overdue. The first calls that replace silent ones are made at
+     * once, as the gatherer will soon count as notified of what was missed. Further ones to a
+     * polled discovery wait for the decision policy.
+     */
+    private void becameOverdue(double nowMs) {
+        boolean parallelAtOnce = pushed || overdueInARow < POLLED_CALLS_AT_ONCE;
+        overdueInARow++;
+        retrying = false;
+        followsResponse = false;
+        if (!pushed || !unavailable) {
+            markUnavailable("a call is overdue, making another in parallel");
+            steps.add(new Step.ReportUnavailable("no answer"));
+        }
+        if (parallelAtOnce) {
+            makeCall(nowMs);
+        } else {
+            currentOverdue = true;
+            nextCallAtMs = nowMs + retryDelayMs;
+        }
+    }
+
     /**
      * Returns the time at which to call {@link #timerFired}, in milliseconds; infinite if never.
      * The value may change with each call of another method.
      */
     double timerAtMs() {
-        if (current == null) {
-            return nextCallAtMs;
-        }
-        return pushed ? current.overdueAtMs() : Double.POSITIVE_INFINITY;
+        return current == null || currentOverdue ? nextCallAtMs : overdueAtMs();
     }
 
     private List<Step> takeSteps() {
--- a/gatherer/src/test/java/sprucehold/discovery/EndpointWatchStateMachineTest.java
+++ b/gatherer/src/test/java/sprucehold/discovery/EndpointWatchStateMachineTest.java
@@ -5,11 +5,7 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
-import java.util.PriorityQueue;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -18,191 +14,12 @@
  * list with the time from which the gatherer counts as notified of the change.
  */
 public class EndpointWatchStateMachineTest {
-    /** Network delay of a request or a response, in milliseconds. */
-    private static final double TRANSIT_MS = 1;
-
     /**
      * Shortest drain grace period of any deployment, in milliseconds. A gatherer may still send to
      * a shard server for this time after it counts as notified of the drain.
      */
     private static final double GRACE_MS = 250;
 
-    private record ScheduledAction(double atMs, long order, Runnable action) {}
-
-    /**
-     * Simulation of an agent of discovery and of the state machine of one gatherer. The agent
-     * behaves as the discovery protocol and the fault-injection test bed define.
-     */
-    private static final class Simulation {
-        private final PriorityQueue<ScheduledAction> scheduled =
-                new PriorityQueue<>(
-                        Comparator.comparingDouble(ScheduledAction::atMs)
-                                .thenComparingLong(ScheduledAction::order));
-        private final EndpointWatchStateMachine stateMachine;
-        private long actionsScheduled;
-        private double nowMs;
-        private long version = 1;
-        private boolean down;
-        private long addressChanges;
-        private final Map<Long, EndpointWatchStateMachine.Call> waitingCalls = new HashMap<>();
-
-        /** Start of each open call, in milliseconds. */
-        private final Map<Long, Double> startedAtMs = new HashMap<>();
-
-        /** Time since which the connection of a call is silent, in milliseconds. */
-        private final Map<Long, Double> silentSinceMs = new HashMap<>();
-
-        /** Time at which the gatherer received each list version, in milliseconds. */
-        final Map<Long, Double> receivedAtMs = new HashMap<>();
-
-        int callsMade;
-
-        Simulation(boolean pushed) {
-            stateMachine = new EndpointWatchStateMachine(pushed, 10_000);
-        }
-
-        void at(double timeMs, Runnable action) {
-            scheduled.add(new ScheduledAction(timeMs, actionsScheduled++, action));
-        }
-
-        private void carryOut(List<EndpointWatchStateMachine.Step> steps) {
-            for (EndpointWatchStateMachine.Step step : steps) {
-                if (step instanceof EndpointWatchStateMachine.Step.MakeCall makeCall) {
-                    callsMade++;
-                    long addressVersion = addressChanges;
-                    startedAtMs.put(makeCall.call().number(), nowMs);
-                    at(nowMs + TRANSIT_MS, () -> arrive(makeCall.call(), addressVersion));
-                    at(
-                            nowMs + makeCall.call().timeoutMs(),
-                            () ->
-                                    end(
-                                            makeCall.call().number(),
-                                            () ->
-                                                    carryOut(
-                                                            stateMachine.failed(
-                                                                    nowMs,
-                                                                    makeCall.call().number(),
-                                                                    "no answer"))));
-                } else if (step instanceof EndpointWatchStateMachine.Step.DropCall drop) {
-                    waitingCalls.remove(drop.number());
-                    startedAtMs.remove(drop.number());
-                } else if (step instanceof EndpointWatchStateMachine.Step.Report report) {
-                    for (long v = 1; v <= report.list().index(); v++) {
-                        receivedAtMs.putIfAbsent(v, nowMs);
-                    }
-                } else if (step instanceof EndpointWatchStateMachine.Step.ReportUnavailable) {
-                    // The decision policy polls again within three seconds.
-                    at(nowMs + 3000, () -> carryOut(stateMachine.poll(nowMs)));
-                }
-            }
-            double timerAtMs = stateMachine.timerAtMs();
-            if (timerAtMs < Double.POSITIVE_INFINITY) {
-                at(Math.max(nowMs, timerAtMs), () -> carryOut(stateMachine.timerFired(nowMs)));
-            }
-        }
-
-        private void end(long number, Runnable handler) {
-            if (startedAtMs.remove(number) != null) {
-                waitingCalls.remove(number);
-                silentSinceMs.remove(number);
-                handler.run();
-            }
-        }
-
-        private void arrive(EndpointWatchStateMachine.Call call, long addressVersion) {
-            if (addressVersion != addressChanges || !startedAtMs.containsKey(call.number())) {
-                return;
-            }
-            waitingCalls.put(call.number(), call);
-            at(nowMs + call.waitMs(), () -> answer(call.number(), true));
-            answer(call.number(), false);
-        }
-
-        private void answer(long number, boolean waitOver) {
-            EndpointWatchStateMachine.Call call = waitingCalls.get(number);
-            if (call == null
-                    || down
-                    || silentSinceMs.containsKey(number)
-                    || (!waitOver && call.after() >= version)) {
-                return;
-            }
-            long answeredVersion = version;
-            waitingCalls.remove(number);
-            at(
-                    nowMs + TRANSIT_MS,
-                    () ->
-                            end(
-                                    number,
-                                    () ->
-                                            carryOut(
-                                                    stateMachine.answered(
-                                                            nowMs,
-                                                            number,
-                                                            new EndpointList(
-                                                                    answeredVersion,
-                                                                    call.after() < 0,
-                                                                    List.of())))));
-        }
-
-        private void answerAll() {
-            List.copyOf(waitingCalls.keySet()).forEach(number -> answer(number, false));
-        }
-
-        void changeList() {
-            version++;
-            answerAll();
-        }
-
-        void silenceWaitingCalls() {
-            waitingCalls.keySet().forEach(number -> silentSinceMs.putIfAbsent(number, nowMs));
-        }
-
-        void resetWaitingCalls() {
-            List.copyOf(waitingCalls.keySet())
-                    .forEach(
-                            number ->
-                                    end(
-                                            number,
-                                            () ->
-                                                    carryOut(
-                                                            stateMachine.failed(
-                                                                    nowMs, number, "reset"))));
-        }
-
-        void setDown(boolean newDown) {
-            down = newDown;
-            if (!newDown) {
-                answerAll();
-            }
-        }
-
-        /** Ends the outage; calls that were made during it are lost and never answered. */
-        void recoverWithoutWaitingCalls() {
-            waitingCalls.clear();
-            down = false;
-        }
-
-        void changeAddress() {
-            addressChanges++;
-            waitingCalls.clear();
-            startedAtMs.clear();
-            carryOut(stateMachine.addressChanged(nowMs));
-        }
-
-        void run(double untilMs) {
-            at(0, () -> carryOut(stateMachine.poll(nowMs)));
-            int steps = 0;
-            while (!scheduled.isEmpty() && scheduled.peek().atMs <= untilMs) {
-                assertTrue(
-                        ++steps < 100_000,
-                        "the state machine schedules steps without end at " + nowMs);
-                ScheduledAction next = scheduled.poll();
-                nowMs = next.atMs;
-                next.action.run();
-            }
-        }
-    }
-
     /** Time at which the disturbance begins, in milliseconds. */
     private static final double START_MS = 30_000;
 
@@ -240,7 +57,7 @@
             String disturbance, double after, double notified) {
         // Covers all phases of the sequence of calls.
         for (double phase = 0; phase < 2200; phase += 37) {
-            var simulation = new Simulation(true);
+            var simulation = new DiscoverySimulation(true);
             double start = START_MS + phase;
             simulation.at(
                     start,
@@ -306,7 +123,7 @@
     public void changeAfterFailedCallsIsReceivedWithinSixSecondsOfDiscoveryBeingReachable(
             boolean pushed, double downMs, double after) {
         for (double phase = 0; phase < 4000; phase += 37) {
-            var simulation = new Simulation(pushed);
+            var simulation = new DiscoverySimulation(pushed);
             // START_MS is longer than the wait of any call, so no call from before is still open.
             double start = START_MS + phase;
             simulation.at(
@@ -341,7 +158,7 @@
     @Test
     public void processStartedDuringAnOutageReceivesTheListAtItsEnd() {
         for (double downMs = 10; downMs < 60_000; downMs += 173) {
-            var simulation = new Simulation(true);
+            var simulation = new DiscoverySimulation(true);
             simulation.setDown(true);
             simulation.at(downMs, () -> simulation.setDown(false));
             simulation.run(downMs + 30_000);
@@ -354,7 +171,7 @@
     @Test
     public void callsOfAnUnchangedListAreFewAndFewerIfTheListIsPolled() {
         for (boolean pushed : new boolean[] {true, false}) {
-            var simulation = new Simulation(pushed);
+            var simulation = new DiscoverySimulation(pushed);
             simulation.run(60_000);
             // One call for the complete list, then one every 2 s if pushed or every 20 s if polled.
             assertTrue(
--- a/gatherer/src/test/java/sprucehold/discovery/EndpointWatchTest.java
+++ b/gatherer/src/test/java/sprucehold/discovery/EndpointWatchTest.java
@@ -7,15 +7,19 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServerRequest;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -230,6 +234,39 @@
         assertTrue(reports.isEmpty());
     }
 
+    @DataProvider
+    Object[][] polledOrPushed() {
+        return new Object[][] {{true}, {false}};
+    }
+
+    /**
+     * A connection that rests may fall silent unnoticed, and a later call on it would get no
+     * response.
+     */
+    @Test(dataProvider = "polledOrPushed")
+    public void noConnectionRestsBesideTheOneInUse(boolean polled) throws Exception {
+        watch.stop();
+        watch = newWatch(port, polled);
+        HttpServerRequest call = startAtVersion41(polled ? 20_000 : 2000);
+        Set<HttpConnection> open = ConcurrentHashMap.newKeySet();
+        var closed = new Semaphore(0);
+        for (int version = 42; version < 48; version++) {
+            HttpConnection connection = call.connection();
+            if (open.add(connection)) {
+                connection.closeHandler(
+                        none -> {
+                            open.remove(connection);
+                            closed.release();
+                        });
+            }
+            call.response().end(list(version, false, endpoint("")));
+            call = calls.poll(5, TimeUnit.SECONDS);
+        }
+        while (open.size() > (open.contains(call.connection()) ? 1 : 0)) {
+            assertTrue(closed.tryAcquire(5, TimeUnit.SECONDS), open.size() + " connections open");
+        }
+    }
+
     @DataProvider
     Object[][] failures() {
         return new Object[][] {{"status"}, {"malformed"}, {"closed"}, {"index decreased"}};
